Add the design, the base types and the build

Cause: the project starts empty; every package needs the same ids, units, error kinds and build rules before it can be written.

Conclusion: packages can be written in parallel against these headers.

--- /dev/null
+++ b/src/include/fuchsiaproxy/platform/instance_list.hpp
@@ -0,0 +1,47 @@
+#ifndef FUCHSIAPROXY_PLATFORM_INSTANCE_LIST_HPP
+#define FUCHSIAPROXY_PLATFORM_INSTANCE_LIST_HPP
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "fuchsiaproxy/base/error.hpp"
+
+namespace fuchsiaproxy::platform
+{
+
+/// State of an instance as the platform reports it. The report lags.
+enum class instance_state
+{
+    live,
+    leaving
+};
+
+/// An entry or an upstream known to the platform. Instances that are gone are not listed.
+struct listed_instance
+{
+    std::string id;
+    /// "entry" or "upstream".
+    std::string role;
+    /// Address and port at which it is reached, "ip:port"; the peer port for an entry.
+    std::string address;
+    instance_state state = instance_state::live;
+};
+
+/// The platform's list of live and leaving instances.
+///
+/// Thread safety: all calls on one thread; the completion is called exactly once on that thread.
+class instance_list
+{
+public:
+    using handler = std::function<void(base::result<std::vector<listed_instance>>)>;
+
+    virtual ~instance_list() = default;
+
+    /// Reads the whole list.
+    virtual void read(handler done) = 0;
+};
+
+} // namespace fuchsiaproxy::platform
+
+#endif
--- /dev/null
+++ b/src/testing/test_main.cpp
@@ -0,0 +1,9 @@
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+int main(int argc, char** argv)
+{
+    // The leak detector is not thread safe and counts static caches of the libraries as leaks.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    return CommandLineTestRunner::RunAllTests(argc, argv);
+}
