Add the fleet view, hubs and look-ups

Cause: entries must learn of each other, of new configurations and of leaving upstreams without every entry watching the store and without links between all pairs.

Ruled out: hubs elected by a store lease. Nothing that a hub does needs exclusivity, the lease costs 50 writes/s at the target size, and a zone whose hub dies during an outage of the store would stay without one. Also ruled out, by the tests: hubs that believe each other's reports about their own zone. A dead entry stayed known for ever (a_dead_entry_is_forgotten_everywhere failed), and a leaving upstream too (expected 0, was 1 after 60 s). Reading the instance list only at the start left two groups that never met (expected 12 entries, was 11); hubs now read it every second and ask the entries they do not know.

Change: package fleet: entry table with revisions and partial digests, two hubs per availability zone by rendezvous rank, pull and push of configurations, first and second hand reports of leaving upstreams, look-ups and choice of witness.

Conclusion: a dead entry is dropped in its zone within 5 s; a configuration that one entry knows reaches all of them within 4 s.

--- /dev/null
+++ b/src/fleet/fleet_node_test.cpp
@@ -0,0 +1,424 @@
+#include "fuchsiaproxy/fleet/fleet_node.hpp"
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Entries in one process that exchange messages without delay, under a fake clock.
+class fake_fleet
+{
+public:
+    void add(std::string const& id, std::string const& region, std::string const& zone,
+             std::uint64_t incarnation = 1)
+    {
+        messages::entry_info self;
+        self.id = base::instance_id(id);
+        self.incarnation = base::incarnation(incarnation);
+        self.region = base::region_id(region);
+        self.zone = base::availability_zone_id(zone);
+        self.peer_address = id + ":1";
+        auto node = std::make_unique<fleet::fleet_node>(fleet::fleet_settings{}, self, now);
+        nodes[self.id] = std::move(node);
+        seeds.push_back({self.id, self.peer_address});
+        perform(self.id, [&](auto& n, auto& out) { n.on_seeds(seeds, now, out); });
+    }
+
+    void run_for(base::duration length)
+    {
+        for (auto const end = now + length; now < end; now += 250ms)
+        {
+            for (auto const& id : ids())
+            {
+                perform(id, [&](auto& n, auto& out) { n.tick(now, out); });
+                read_instance_list(id);
+            }
+        }
+    }
+
+    // Only hubs read the platform's list regularly; it still names entries that have died.
+    void read_instance_list(base::instance_id const& id)
+    {
+        if (nodes.at(id)->is_hub() && now.time_since_epoch() % 1s == 0s)
+        {
+            perform(id, [&](auto& n, auto& out) { n.on_seeds(seeds, now, out); });
+        }
+    }
+
+    void adopt(std::string const& id, std::uint64_t version)
+    {
+        perform(base::instance_id(id), [&](auto& n, auto& out)
+                { n.on_adopted(base::config_version(version), "{}", now, out); });
+    }
+
+    template <class Call>
+    void perform(base::instance_id const& id, Call&& call)
+    {
+        fleet::fleet_actions out;
+        call(*nodes.at(id), out);
+        apply(id, out);
+        deliver();
+    }
+
+    std::vector<base::instance_id> ids() const
+    {
+        std::vector<base::instance_id> all;
+        for (auto const& it : nodes)
+        {
+            all.push_back(it.first);
+        }
+        return all;
+    }
+
+    std::vector<std::string> hubs(std::string const& zone) const
+    {
+        std::vector<std::string> all;
+        for (auto const& it : nodes)
+        {
+            if (it.second->is_hub() && it.second->self().zone.value() == zone)
+            {
+                all.push_back(it.first.value());
+            }
+        }
+        return all;
+    }
+
+    bool knows(std::string const& who, std::string const& whom) const
+    {
+        return nodes.at(base::instance_id(who))->find(base::instance_id(whom)) != nullptr;
+    }
+
+    std::uint64_t version(std::string const& id) const
+    {
+        return nodes.at(base::instance_id(id))->self().version.value();
+    }
+
+    std::map<base::instance_id, std::unique_ptr<fleet::fleet_node>> nodes;
+    std::vector<fleet::seed_entry> seeds;
+    std::set<base::instance_id> cut_off;
+    base::time_point now{1h};
+    std::size_t messages_sent = 0;
+    std::size_t configurations_sent = 0;
+
+private:
+    struct packet
+    {
+        base::instance_id to;
+        messages::envelope it;
+    };
+
+    void apply(base::instance_id const& id, fleet::fleet_actions const& actions)
+    {
+        for (auto const& action : actions)
+        {
+            if (auto const* const send = std::get_if<fleet::send_to_entry>(&action))
+            {
+                ++messages_sent;
+                configurations_sent += std::holds_alternative<messages::config_push>(send->body);
+                messages::envelope const it{id, nodes.at(id)->self().incarnation, ++sequence_,
+                                            send->body};
+                queue_.push_back({send->to, it});
+            }
+            if (auto const* const offer = std::get_if<fleet::offered_configuration>(&action))
+            {
+                fleet::fleet_actions out;
+                nodes.at(id)->on_adopted(offer->version, offer->document, now, out);
+                apply(id, out);
+            }
+        }
+    }
+
+    void deliver()
+    {
+        while (!queue_.empty())
+        {
+            auto const next = queue_.front();
+            queue_.pop_front();
+            bool const lost = cut_off.count(next.to) != 0 || cut_off.count(next.it.from) != 0;
+            if (lost || nodes.count(next.to) == 0)
+            {
+                continue;
+            }
+            fleet::fleet_actions out;
+            nodes.at(next.to)->on_message(next.it, now, out);
+            apply(next.to, out);
+        }
+    }
+
+    std::deque<packet> queue_;
+    std::uint64_t sequence_ = 0;
+};
+
+std::vector<std::string> const zones{"harju-a", "harju-b", "tartu-a", "tartu-b"};
+
+std::string region_of(std::string const& zone)
+{
+    return zone.substr(0, zone.find('-'));
+}
+
+// Adds `n` entries to each of four zones: harju-a-0, harju-a-1, ...
+void add_entries(fake_fleet& fleet, int n)
+{
+    for (int i = 0; i < n; ++i)
+    {
+        for (auto const& zone : zones)
+        {
+            fleet.add(zone + "-" + std::to_string(i), region_of(zone), zone);
+        }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(fleet_node)
+{
+    fake_fleet fleet;
+
+    void setup() override
+    {
+        add_entries(fleet, 3);
+        fleet.run_for(6s);
+    }
+};
+
+// Guards against entries that stay unknown to others, or zones with too many hubs.
+TEST(fleet_node, every_entry_learns_of_all_others_and_agrees_on_two_hubs)
+{
+    for (auto const& it : fleet.nodes)
+    {
+        LONGS_EQUAL(fleet.nodes.size(), it.second->live_entries().size());
+    }
+    for (auto const& zone : zones)
+    {
+        LONGS_EQUAL(2, fleet.hubs(zone).size());
+    }
+}
+
+// Guards against a dead entry that hubs keep alive by telling each other of it.
+TEST(fleet_node, a_dead_entry_is_forgotten_everywhere)
+{
+    fleet.nodes.erase(base::instance_id("harju-a-1"));
+    fleet.run_for(10s);
+    for (auto const& it : fleet.nodes)
+    {
+        CHECK(it.second->find(base::instance_id("harju-a-1")) == nullptr);
+    }
+}
+
+// Guards against a dead entry that still receives callers or owns slots in its own zone: by the
+// design, hubs drop it 3 s after its last heartbeat and members with their next pull, each of which
+// is up to one period of 1 s away.
+TEST(fleet_node, a_dead_entry_is_forgotten_in_its_zone_within_five_seconds)
+{
+    auto const hubs = fleet.hubs("tartu-b");
+    fleet.nodes.erase(base::instance_id(hubs.front()));
+    fleet.run_for(5s);
+    for (auto const& id : fleet.ids())
+    {
+        if (fleet.nodes.at(id)->self().zone.value() == "tartu-b")
+        {
+            CHECK(!fleet.knows(id.value(), hubs.front()));
+        }
+    }
+}
+
+// Guards against a zone that is left without hubs.
+TEST(fleet_node, the_next_entry_becomes_hub_when_both_hubs_are_lost)
+{
+    for (auto const& id : fleet.hubs("harju-b"))
+    {
+        fleet.nodes.erase(base::instance_id(id));
+    }
+    fleet.run_for(5s);
+    LONGS_EQUAL(1, fleet.hubs("harju-b").size());
+}
+
+// Guards against a configuration that waits for the next pull: hubs push it at once.
+TEST(fleet_node, a_configuration_known_to_the_hubs_reaches_their_members_at_once)
+{
+    for (auto const& zone : zones)
+    {
+        fleet.adopt(fleet.hubs(zone).front(), 7);
+    }
+    for (auto const& id : fleet.ids())
+    {
+        LONGS_EQUAL(7, fleet.version(id.value()));
+    }
+}
+
+// Guards against a fleet that stays behind when only one entry could read the store.
+TEST(fleet_node, a_configuration_known_to_one_entry_reaches_all_within_four_seconds)
+{
+    fleet.adopt("tartu-a-2", 8);
+    fleet.run_for(4s);
+    for (auto const& id : fleet.ids())
+    {
+        LONGS_EQUAL(8, fleet.version(id.value()));
+    }
+}
+
+// Guards against an entry that cannot start during an outage of the store.
+TEST(fleet_node, an_entry_that_starts_from_nothing_learns_the_configuration_from_its_peers)
+{
+    fleet.adopt("harju-a-0", 9);
+    fleet.run_for(4s);
+    fleet.add("harju-a-0", "harju", "harju-a", 2);
+    fleet.run_for(2s);
+    LONGS_EQUAL(9, fleet.version("harju-a-0"));
+}
+
+// Guards against a version that goes back: a late push of an older version must not be adopted.
+TEST(fleet_node, an_older_configuration_is_never_offered)
+{
+    fleet.adopt("harju-a-0", 9);
+    fleet.run_for(4s);
+    fleet::fleet_actions out;
+    messages::envelope const late{base::instance_id("harju-b-0"), base::incarnation(1), 1,
+                                  messages::config_push{base::config_version(8), "{}"}};
+    fleet.nodes.at(base::instance_id("harju-a-1"))->on_message(late, fleet.now, out);
+    CHECK(out.empty());
+}
+
+// Guards against work for a leaving upstream that only one entry noticed.
+TEST(fleet_node, a_leaving_upstream_is_known_everywhere_within_three_seconds)
+{
+    base::upstream_id const id("orders-3");
+    fleet.perform(base::instance_id("tartu-b-1"),
+                  [&](auto& node, auto& out) { node.on_upstream_leaving(id, fleet.now, out); });
+    fleet.run_for(3s);
+    for (auto const& it : fleet.nodes)
+    {
+        LONGS_EQUAL(1, it.second->leaving_upstreams().size());
+    }
+}
+
+// Guards against a report of a leaving upstream that entries pass round for ever.
+TEST(fleet_node, a_leaving_upstream_is_forgotten_after_the_reports_end)
+{
+    base::upstream_id const id("orders-3");
+    fleet.perform(base::instance_id("tartu-b-1"),
+                  [&](auto& node, auto& out) { node.on_upstream_leaving(id, fleet.now, out); });
+    fleet.run_for(60s);
+    for (auto const& it : fleet.nodes)
+    {
+        LONGS_EQUAL(0, it.second->leaving_upstreams().size());
+    }
+}
+
+// Guards against state of an ended process being taken for that of its successor.
+TEST(fleet_node, a_newer_incarnation_ends_the_older_one_and_is_not_undone_by_late_news)
+{
+    auto& node = *fleet.nodes.at(base::instance_id("harju-a-1"));
+    auto info = fleet.nodes.at(base::instance_id("harju-b-0"))->self();
+    info.incarnation = base::incarnation(5);
+    fleet::fleet_actions out;
+    node.on_message({info.id, info.incarnation, 1, messages::heartbeat{info}}, fleet.now, out);
+    bool ended = false;
+    for (auto const& it : out)
+    {
+        ended = ended || std::holds_alternative<fleet::incarnation_ended>(it);
+    }
+    CHECK(ended);
+    info.incarnation = base::incarnation(1);
+    out.clear();
+    node.on_message({info.id, info.incarnation, 2, messages::heartbeat{info}}, fleet.now, out);
+    LONGS_EQUAL(5, node.find(info.id)->incarnation.value());
+}
+
+// Guards against control traffic that grows with the whole table: without changes an entry that is
+// no hub sends two heartbeats, two pulls and one heartbeat for its witness in a period.
+TEST(fleet_node, a_quiet_member_sends_a_constant_number_of_messages)
+{
+    for (auto const& it : fleet.nodes)
+    {
+        if (it.second->is_hub())
+        {
+            continue;
+        }
+        fleet::fleet_actions out;
+        it.second->tick(fleet.now + 1s, out);
+        std::size_t sent = 0;
+        for (auto const& action : out)
+        {
+            sent += std::holds_alternative<fleet::send_to_entry>(action);
+        }
+        CHECK(sent <= 5);
+    }
+}
+
+TEST_GROUP(look_up)
+{
+    fake_fleet fleet;
+
+    void setup() override
+    {
+        add_entries(fleet, 3);
+        fleet.run_for(6s);
+        fleet.adopt("harju-a-0", 1);
+        fleet.run_for(5s);
+    }
+
+    std::vector<messages::entry_info> ask(std::uint64_t salt)
+    {
+        return fleet.nodes.at(base::instance_id("tartu-b-0"))
+            ->look_up(base::region_id("harju"), base::availability_zone_id("harju-a"), salt, 3);
+    }
+};
+
+// Guards against callers being sent far away while near entries are well.
+TEST(look_up, the_nearest_entries_come_first)
+{
+    for (auto const& it : ask(1))
+    {
+        CHECK_EQUAL(std::string("harju-a"), it.zone.value());
+    }
+}
+
+// Guards against new callers being sent to an entry that is about to stop.
+TEST(look_up, a_draining_entry_is_not_listed)
+{
+    fleet.nodes.at(base::instance_id("harju-a-1"))->set_self(true, {}, {}, 0, 0);
+    fleet.run_for(3s);
+    for (auto const& it : ask(1))
+    {
+        CHECK(it.id.value() != "harju-a-1");
+    }
+}
+
+// Guards against all callers of a zone being sent to one entry.
+TEST(look_up, callers_are_spread_over_equal_entries)
+{
+    std::map<std::string, int> first;
+    for (std::uint64_t salt = 0; salt < 300; ++salt)
+    {
+        ++first[ask(salt).front().id.value()];
+    }
+    LONGS_EQUAL(3, first.size());
+    for (auto const& it : first)
+    {
+        CHECK(it.second > 50);
+    }
+}
+
+// Guards against callers being sent to an entry that has no configuration and refuses them.
+TEST(look_up, an_entry_without_a_configuration_is_not_listed)
+{
+    fake_fleet empty;
+    empty.add("harju-a-0", "harju", "harju-a");
+    CHECK(
+        empty.nodes.begin()
+            ->second->look_up(base::region_id("harju"), base::availability_zone_id("harju-a"), 1, 3)
+            .empty());
+}
--- a/src/include/fuchsiaproxy/messages/messages.hpp
+++ b/src/include/fuchsiaproxy/messages/messages.hpp
@@ -35,26 +35,31 @@
     std::uint32_t load_permille = 0;
 };
 
-/// Sent every second to the hub and the witness.
+/// Sent every second to the hubs of the zone and to the witness.
 struct heartbeat
 {
     entry_info self;
 };
 
-/// Asks the hub for what is newer than `version`; `sent_at_ns` is echoed.
+/// Asks a hub for what changed since `known_revision` of the hub's incarnation `known_hub`.
 struct pull
 {
     base::config_version version;
-    std::uint64_t sent_at_ns = 0;
+    base::incarnation known_hub;
+    std::uint64_t known_revision = 0;
 };
 
-/// Answer to `pull`, and what hubs exchange: the entries that the sender knows.
+/// Answer to `pull`, and what hubs exchange: the changes of the entries that the sender knows.
 struct digest
 {
     base::config_version version;
-    std::uint64_t echo_sent_at_ns = 0;
+    /// Revision of the sender's view after these changes.
+    std::uint64_t revision = 0;
+    /// True when `entries` is the whole view and replaces what the receiver had from the sender.
+    bool full = false;
     std::vector<entry_info> entries;
-    /// Upstreams that the sender knows to be leaving.
+    std::vector<base::instance_id> removed;
+    /// Upstreams that the sender knows to be leaving; always the whole list.
     std::vector<base::upstream_id> leaving;
 };
 
