Add the settings of the daemon

Cause: a daemon learns who and where it is from one JSON file, and a mistyped setting must stop it with the path and what was expected.

Ruled out: valijson's own messages alone; they name the object that holds an unknown or missing key, not the key. Key faults are found by a walk over the same schema.

Conclusion: each fault is named by its path in the file.

--- /dev/null
+++ b/src/include/fuchsiaproxy/settings/load.hpp
@@ -0,0 +1,48 @@
+#ifndef FUCHSIAPROXY_SETTINGS_LOAD_HPP
+#define FUCHSIAPROXY_SETTINGS_LOAD_HPP
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/settings/daemon_settings.hpp"
+
+namespace fuchsiaproxy::settings
+{
+
+/// Value for one setting, given outside the file. `path` is in dotted form, such as
+/// "listen.callers.port"; `value` is JSON or, failing that, a string.
+struct override_value
+{
+    std::string path;
+    std::string value;
+};
+
+/// Prefix of environment variables that set a setting: FUCHSIAPROXY_LISTEN__CALLERS__PORT stands
+/// for listen.callers.port.
+constexpr std::string_view environment_prefix = "FUCHSIAPROXY_";
+
+/// Builds the settings from the text of a settings file and the overrides, which are applied in
+/// order: later ones win over earlier ones, and all of them over the file. The error message has
+/// one line for each fault, with the path in the file and what was expected. Thread safe.
+base::result<daemon_settings> load(std::string_view file_text,
+                                   std::vector<override_value> const& overrides);
+
+/// Returns the overrides that the environment `variables`, in the form "NAME=value", contains, in
+/// the order of their names. Thread safe.
+std::vector<override_value> overrides_from_environment(std::vector<std::string> const& variables);
+
+/// Splits "path=value" as given to `--set`. Thread safe.
+base::result<override_value> parse_override(std::string_view text);
+
+/// Returns the JSON schema of the settings file. Thread safe.
+std::string_view schema_text() noexcept;
+
+/// Returns the reference page of the settings in Markdown, made from the schema. Thread safe.
+std::string reference_page();
+
+} // namespace fuchsiaproxy::settings
+
+#endif
--- /dev/null
+++ b/src/settings/load.cpp
@@ -0,0 +1,277 @@
+#include "fuchsiaproxy/settings/load.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <map>
+
+#include <nlohmann/json.hpp>
+
+#include "validate.hpp"
+
+namespace fuchsiaproxy::settings
+{
+namespace
+{
+
+using nlohmann::json;
+
+json const& schema()
+{
+    static json const parsed = json::parse(schema_text());
+    return parsed;
+}
+
+std::vector<std::string> split(std::string const& text, std::string const& separator)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    for (auto end = text.find(separator); end != std::string::npos;
+         end = text.find(separator, begin))
+    {
+        parts.push_back(text.substr(begin, end - begin));
+        begin = end + separator.size();
+    }
+    parts.push_back(text.substr(begin));
+    return parts;
+}
+
+void apply_override(json& document, override_value const& it)
+{
+    auto parsed = json::parse(it.value, nullptr, false);
+    json* at = &document;
+    for (auto const& key : split(it.path, "."))
+    {
+        if (!at->is_object())
+        {
+            *at = json::object();
+        }
+        at = &(*at)[key];
+    }
+    *at = parsed.is_discarded() ? json(it.value) : std::move(parsed);
+}
+
+// Adds the defaults of `at` that `document` does not set.
+void fill_defaults(json& document, json const& at)
+{
+    auto const& resolved = resolve_reference(at, schema());
+    if (!resolved.contains("properties") || !document.is_object())
+    {
+        return;
+    }
+    for (auto const& it : resolved.at("properties").items())
+    {
+        if (!document.contains(it.key()) && it.value().contains("default"))
+        {
+            document[it.key()] = it.value().at("default");
+        }
+        if (document.contains(it.key()))
+        {
+            fill_defaults(document[it.key()], it.value());
+        }
+    }
+}
+
+model::endpoint endpoint_of(json const& it)
+{
+    return {it.at("address").get<std::string>(), it.at("port").get<std::uint16_t>()};
+}
+
+base::duration milliseconds_of(json const& it)
+{
+    return std::chrono::milliseconds(it.get<std::int64_t>());
+}
+
+limit_settings limits_of(json const& it)
+{
+    limit_settings limits;
+    limits.caller_connections = it.at("caller_connections");
+    limits.caller_connections_per_address = it.at("caller_connections_per_address");
+    limits.body_bytes = it.at("body_bytes");
+    limits.queued_requests = it.at("queued_requests");
+    limits.ring_items = it.at("ring_items");
+    limits.request_records = it.at("request_records");
+    limits.connections_per_upstream = it.at("connections_per_upstream");
+    return limits;
+}
+
+timing_settings timing_of(json const& it)
+{
+    timing_settings timing;
+    timing.lookup_ttl = milliseconds_of(it.at("lookup_ttl_ms"));
+    timing.drain_bound = milliseconds_of(it.at("drain_bound_ms"));
+    timing.claim_timeout = milliseconds_of(it.at("claim_timeout_ms"));
+    timing.heartbeat_period = milliseconds_of(it.at("heartbeat_ms"));
+    timing.lost_after = milliseconds_of(it.at("lost_after_ms"));
+    timing.header_timeout = milliseconds_of(it.at("header_timeout_ms"));
+    timing.idle_limit = milliseconds_of(it.at("idle_limit_ms"));
+    timing.pooled_idle_limit = milliseconds_of(it.at("pooled_idle_limit_ms"));
+    return timing;
+}
+
+daemon_settings settings_of(json const& it)
+{
+    daemon_settings made;
+    auto const& instance = it.at("instance");
+    made.instance.id = base::instance_id(instance.at("id").get<std::string>());
+    made.instance.region = base::region_id(instance.at("region").get<std::string>());
+    made.instance.zone = base::availability_zone_id(instance.at("zone").get<std::string>());
+    made.listen.callers = endpoint_of(it.at("listen").at("callers"));
+    made.listen.peers = endpoint_of(it.at("listen").at("peers"));
+    made.listen.operators = endpoint_of(it.at("listen").at("operators"));
+    made.advertise.callers = it.at("advertise").at("callers").get<std::string>();
+    made.advertise.peers = it.at("advertise").at("peers").get<std::string>();
+    made.platform.store = endpoint_of(it.at("platform").at("store"));
+    made.platform.instances = endpoint_of(it.at("platform").at("instances"));
+    made.platform.call_timeout = milliseconds_of(it.at("platform").at("call_timeout_ms"));
+    made.peer_secret = it.at("peers").at("secret").get<std::string>();
+    made.limits = limits_of(it.at("limits"));
+    made.timing = timing_of(it.at("timing"));
+    made.log_level = it.at("log").at("level").get<std::string>();
+    made.seed = it.at("seed").get<std::uint64_t>();
+    return made;
+}
+
+// Parses the file; duplicate keys are a fault, which the parser itself would pass over.
+base::result<json> parse_file(std::string_view text)
+{
+    std::vector<std::map<std::string, int>> open_objects;
+    std::string duplicate;
+    auto const check = [&](int, json::parse_event_t event, json& parsed)
+    {
+        if (event == json::parse_event_t::object_start)
+        {
+            open_objects.emplace_back();
+        }
+        else if (event == json::parse_event_t::object_end && !open_objects.empty())
+        {
+            open_objects.pop_back();
+        }
+        else if (event == json::parse_event_t::key &&
+                 ++open_objects.back()[parsed.get<std::string>()] > 1)
+        {
+            duplicate = parsed.get<std::string>();
+        }
+        return true;
+    };
+    try
+    {
+        auto document = json::parse(text, check);
+        if (!duplicate.empty())
+        {
+            return base::make_error(base::error_kind::invalid_settings,
+                                    "/: the key \"" + duplicate + "\" is set twice");
+        }
+        return document;
+    }
+    catch (json::parse_error const& ex)
+    {
+        return base::make_error(base::error_kind::invalid_settings,
+                                std::string("/: not valid JSON: ") + ex.what());
+    }
+}
+
+std::string join_lines(std::vector<std::string> const& lines)
+{
+    std::string text;
+    for (auto const& it : lines)
+    {
+        text += text.empty() ? it : "\n" + it;
+    }
+    return text;
+}
+
+void add_reference_rows(json const& at, std::string const& path, std::string& page)
+{
+    auto const& resolved = resolve_reference(at, schema());
+    for (auto const& it : resolved.at("properties").items())
+    {
+        auto const& entry = resolve_reference(it.value(), schema());
+        auto const name = path.empty() ? it.key() : path + "." + it.key();
+        if (entry.contains("properties"))
+        {
+            add_reference_rows(entry, name, page);
+            continue;
+        }
+        auto const fallback =
+            entry.contains("default") ? "`" + entry.at("default").dump() + "`" : "required";
+        page += "| `" + name + "` | " + entry.value("description", std::string()) + " | " +
+                describe_expectation(entry) + " | " + fallback + " |\n";
+    }
+}
+
+} // namespace
+
+base::result<daemon_settings> load(std::string_view file_text,
+                                   std::vector<override_value> const& overrides)
+{
+    auto parsed = parse_file(file_text);
+    if (!parsed)
+    {
+        return parsed.error();
+    }
+    auto document = std::move(parsed).value();
+    for (auto const& it : overrides)
+    {
+        apply_override(document, it);
+    }
+    auto const faults = faults_of(document, schema());
+    if (!faults.empty())
+    {
+        return base::make_error(base::error_kind::invalid_settings, join_lines(faults));
+    }
+    fill_defaults(document, schema());
+    return settings_of(document);
+}
+
+std::vector<override_value> overrides_from_environment(std::vector<std::string> const& variables)
+{
+    std::vector<override_value> found;
+    auto sorted = variables;
+    std::sort(sorted.begin(), sorted.end());
+    for (auto const& it : sorted)
+    {
+        auto const equals = it.find('=');
+        bool const is_ours = it.compare(0, environment_prefix.size(), environment_prefix) == 0;
+        if (!is_ours || equals == std::string::npos)
+        {
+            continue;
+        }
+        auto name = it.substr(environment_prefix.size(), equals - environment_prefix.size());
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        override_value made;
+        for (auto const& part : split(name, "__"))
+        {
+            made.path += made.path.empty() ? part : "." + part;
+        }
+        made.value = it.substr(equals + 1);
+        found.push_back(std::move(made));
+    }
+    return found;
+}
+
+base::result<override_value> parse_override(std::string_view text)
+{
+    auto const equals = text.find('=');
+    if (equals == std::string_view::npos || equals == 0)
+    {
+        return base::make_error(base::error_kind::invalid_settings,
+                                "\"" + std::string(text) + "\": expected path=value");
+    }
+    return override_value{std::string(text.substr(0, equals)),
+                          std::string(text.substr(equals + 1))};
+}
+
+std::string reference_page()
+{
+    std::string page = "# Settings of fuchsiad\n\n"
+                       "Made by `fuchsiad --settings-reference`. Defaults are overridden by the "
+                       "file, the file by the\nenvironment (`FUCHSIAPROXY_LISTEN__CALLERS__PORT` "
+                       "stands for `listen.callers.port`), and that by\n`--set path=value`.\n\n"
+                       "| setting | meaning | value | default |\n| --- | --- | --- | --- |\n";
+    add_reference_rows(schema(), "", page);
+    return page;
+}
+
+} // namespace fuchsiaproxy::settings
