--- /dev/null
+++ b/src/include/fuchsiaproxy/requests/claim_action.hpp
@@ -0,0 +1,68 @@
+#ifndef FUCHSIAPROXY_REQUESTS_CLAIM_ACTION_HPP
+#define FUCHSIAPROXY_REQUESTS_CLAIM_ACTION_HPP
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/messages/messages.hpp"
+
+namespace fuchsiaproxy::requests
+{
+
+/// The request may be sent to an upstream by this entry, once.
+struct run_request
+{
+    base::local_request_id request;
+};
+
+/// The request must be answered with `kind`; `status` is set for `already_run`.
+struct refuse_request
+{
+    base::local_request_id request;
+    base::error_kind kind = base::error_kind::claim_refused;
+    std::uint32_t status = 0;
+};
+
+/// A message for another entry.
+struct send_message
+{
+    base::instance_id to;
+    messages::message body;
+};
+
+using claim_action = std::variant<run_request, refuse_request, send_message>;
+using claim_actions = std::vector<claim_action>;
+
+/// Decisions of one entry since its start.
+struct claim_counters
+{
+    std::uint64_t claims = 0;
+    std::uint64_t claims_denied = 0;
+    std::uint64_t claims_timed_out = 0;
+    std::uint64_t witness_unreachable = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t runs_without_witness = 0;
+    std::uint64_t sends_after_deadline = 0;
+    std::uint64_t duplicates = 0;
+    std::uint64_t malformed_ids = 0;
+    std::uint64_t generations_closed_early = 0;
+    std::uint64_t grants_given = 0;
+    std::uint64_t grants_refused = 0;
+    std::uint64_t tombstones_for_others = 0;
+    std::uint64_t resolutions_started = 0;
+    std::uint64_t resolutions_refused = 0;
+    std::uint64_t outcomes_resent = 0;
+    std::uint64_t answered_not_run = 0;
+    std::uint64_t answered_already_run = 0;
+    std::uint64_t answered_may_have_run = 0;
+    std::uint64_t ignored_messages = 0;
+    /// Messages that contradict the protocol; any value but zero is a defect.
+    std::uint64_t contradictions = 0;
+};
+
+} // namespace fuchsiaproxy::requests
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/requests/resolver.hpp
@@ -0,0 +1,122 @@
+#ifndef FUCHSIAPROXY_REQUESTS_RESOLVER_HPP
+#define FUCHSIAPROXY_REQUESTS_RESOLVER_HPP
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/messages/messages.hpp"
+#include "fuchsiaproxy/requests/claim_action.hpp"
+#include "fuchsiaproxy/requests/claim_limits.hpp"
+#include "fuchsiaproxy/requests/request_id.hpp"
+#include "fuchsiaproxy/requests/witness_ledger.hpp"
+
+namespace fuchsiaproxy::requests
+{
+
+/// Finds out what became of requests whose record is at other entries, and answers their callers.
+///
+/// It asks the primary, and also the witness while the primary does not answer, until one of them
+/// knows the outcome, neither can know it any more, or the caller's deadline passes. An answer
+/// counts only if it comes from the incarnation that the id names.
+/// Thread safety: none; a value, confined to its owner's thread.
+class resolver
+{
+public:
+    /// `self` is this entry; the entry's own witness records are consulted without a message.
+    resolver(entry_incarnation self, claim_limits const& limits)
+        : self_(std::move(self)), limits_(limits)
+    {
+    }
+
+    /// Answers `local` as soon as the outcome of `id` is known. Preconditions: `local` is unique;
+    /// this entry has no record of the id as its primary.
+    void start(base::local_request_id local, request_id const& id, std::string const& text,
+               base::time_point deadline, base::time_point now, witness_ledger& witnessed,
+               claim_counters& counters, claim_actions& actions);
+
+    /// Takes the answer of another entry.
+    void on_resolution(entry_incarnation const& from, messages::resolution const& it,
+                       base::time_point now, witness_ledger& witnessed, claim_counters& counters,
+                       claim_actions& actions);
+
+    /// Asks the witnesses of the requests whose primary is `peer`.
+    void on_peer_unreachable(base::instance_id const& peer, base::time_point now,
+                             witness_ledger& witnessed, claim_counters& counters,
+                             claim_actions& actions);
+
+    /// Forgets a request whose caller does not wait any more.
+    void remove(base::local_request_id local);
+
+    /// Repeats questions and answers the callers whose deadline has passed.
+    void tick(base::time_point now, witness_ledger& witnessed, claim_counters& counters,
+              claim_actions& actions);
+
+    /// Returns when `tick` has something to do.
+    std::optional<base::time_point> next_timer() const;
+
+    /// Appends the whole state in a canonical form.
+    void append_state(std::string& out) const;
+
+private:
+    /// What is known of one of the two entries that an id names.
+    enum class source_state
+    {
+        /// Not asked, or asked and no answer yet.
+        open,
+        /// Asked again without an answer, or reported as unreachable.
+        silent,
+        /// It said that the request was granted and may be running.
+        running,
+        /// It cannot know the outcome: no such entry, replaced process, or records forgotten.
+        lost
+    };
+
+    struct task
+    {
+        request_id id;
+        source_state primary = source_state::open;
+        source_state witness = source_state::open;
+        bool primary_asked = false;
+        base::time_point wakes_at;
+        base::time_point asks_at;
+        std::map<base::local_request_id, base::time_point> waiters;
+    };
+
+    using tasks = std::unordered_map<std::string, task>;
+
+    void ask(tasks::iterator it, base::time_point now, witness_ledger& witnessed,
+             claim_counters& counters, claim_actions& actions);
+    bool ask_witness(tasks::iterator it, base::time_point now, witness_ledger& witnessed,
+                     claim_counters& counters, claim_actions& actions);
+    bool conclude(tasks::iterator it, claim_counters& counters, claim_actions& actions);
+    bool take(tasks::iterator it, source_state& source, messages::request_state state,
+              std::uint32_t status, claim_counters& counters, claim_actions& actions);
+    void finish(tasks::iterator it, base::error_kind kind, std::uint32_t status,
+                claim_counters& counters, claim_actions& actions);
+    void answer_late(tasks::iterator it, base::time_point now, claim_counters& counters,
+                     claim_actions& actions);
+    void schedule(tasks::iterator it);
+    void erase(tasks::iterator it);
+
+    entry_incarnation self_;
+    claim_limits limits_;
+    tasks tasks_;
+    std::unordered_map<base::local_request_id, std::string> texts_;
+    std::set<std::pair<base::time_point, std::string>> timers_;
+};
+
+/// Appends the answer of a request and counts it. Thread safety: none.
+void append_answer(base::local_request_id local, base::error_kind kind, std::uint32_t status,
+                   claim_counters& counters, claim_actions& actions);
+
+} // namespace fuchsiaproxy::requests
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/requests/witness_ledger.hpp
@@ -0,0 +1,118 @@
+#ifndef FUCHSIAPROXY_REQUESTS_WITNESS_LEDGER_HPP
+#define FUCHSIAPROXY_REQUESTS_WITNESS_LEDGER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/messages/messages.hpp"
+#include "fuchsiaproxy/requests/claim_limits.hpp"
+#include "fuchsiaproxy/requests/request_id.hpp"
+
+namespace fuchsiaproxy::requests
+{
+
+/// What a witness says of a request.
+struct witness_answer
+{
+    messages::request_state state = messages::request_state::unknown;
+    std::uint32_t status = 0;
+};
+
+/// Requests of other primaries that this entry granted or refused.
+///
+/// A primary is known from its first heartbeat or claim. Of an unknown primary nothing is promised:
+/// its ids resolve to `unknown`. A primary that was removed to make room is never accepted again,
+/// because the tombstones on its ids are lost: `removed_` is the highest incarnation that was
+/// removed, and no primary with an incarnation up to it is added. Incarnations should therefore
+/// grow with the start time of the process; otherwise primaries are refused needlessly.
+/// Thread safety: none; a value, confined to its owner's thread.
+class witness_ledger
+{
+public:
+    explicit witness_ledger(claim_limits const& limits) : limits_(limits) {}
+
+    /// Notes that `primary` is alive and issues tickets of `generation`. Closes the generations
+    /// that it no longer accepts. Returns false when the primary cannot be accepted.
+    /// Precondition: called only for what the primary itself said.
+    bool note_primary(entry_incarnation const& primary, std::uint32_t generation,
+                      base::time_point now);
+
+    /// Grants the claim of `id`, or refuses it for ever. Precondition: the claim came from the
+    /// primary's incarnation, and the id names this entry's incarnation as its witness.
+    bool grant(request_id const& id, std::string const& text, base::time_point now);
+
+    /// Returns what is known of `id`, and places a tombstone on it if it was not granted.
+    /// Precondition: the id names this entry's incarnation as its witness.
+    witness_answer resolve(request_id const& id, std::string const& text, base::time_point now);
+
+    /// Records that the request ran. Returns false if this contradicts the record. Preconditions
+    /// as for `grant`.
+    bool record_done(request_id const& id, std::string const& text, std::uint32_t status,
+                     base::time_point now);
+
+    /// Records that the primary placed a tombstone, before or after the grant. Returns false if
+    /// this contradicts the record. Preconditions as for `grant`.
+    bool withdraw(request_id const& id, std::string const& text, base::time_point now);
+
+    /// Forgets the generations whose retention has passed at `now`.
+    void expire(base::time_point now);
+
+    /// Returns the number of records.
+    std::size_t size() const noexcept
+    {
+        return size_;
+    }
+
+    /// Returns the number of known primaries.
+    std::size_t primaries() const noexcept
+    {
+        return primaries_.size();
+    }
+
+    /// Appends the whole state in a canonical form; two ledgers behave alike if it is equal.
+    void append_state(std::string& out) const;
+
+private:
+    struct generation_records
+    {
+        std::unordered_map<std::string, witness_answer> all;
+        base::time_point touched;
+    };
+
+    struct primary_records
+    {
+        /// Highest generation that the primary itself named.
+        std::uint32_t seen = 0;
+        /// No id up to this generation is granted any more.
+        std::uint32_t closed = 0;
+        /// Records up to this generation were forgotten; at most `closed`.
+        std::uint32_t forgotten = 0;
+        base::time_point heard;
+        std::map<std::uint32_t, generation_records> generations;
+    };
+
+    primary_records* add_primary(entry_incarnation const& primary, base::time_point now);
+    bool remove_silent_primary(base::time_point now);
+    primary_records* find_primary(request_id const& id);
+    witness_answer* find(primary_records& primary, std::uint32_t generation,
+                         std::string const& text);
+    bool insert(primary_records& primary, std::uint32_t generation, std::string const& text,
+                messages::request_state state, base::time_point now);
+    void close(primary_records& primary, std::uint32_t generation);
+    bool forget_oldest();
+    void forget_lowest(primary_records& primary);
+
+    claim_limits limits_;
+    std::map<entry_incarnation, primary_records> primaries_;
+    base::incarnation removed_{0};
+    std::size_t size_ = 0;
+};
+
+} // namespace fuchsiaproxy::requests
+
+#endif
--- /dev/null
+++ b/src/requests/resolver.cpp
@@ -0,0 +1,322 @@
+#include "fuchsiaproxy/requests/resolver.hpp"
+
+#include <algorithm>
+
+namespace fuchsiaproxy::requests
+{
+
+using base::error_kind;
+using messages::request_state;
+
+void append_answer(base::local_request_id local, error_kind kind, std::uint32_t status,
+                   claim_counters& counters, claim_actions& actions)
+{
+    switch (base::answer_for(kind).outcome)
+    {
+    case base::request_outcome::not_run:
+        ++counters.answered_not_run;
+        break;
+    case base::request_outcome::already_run:
+        ++counters.answered_already_run;
+        break;
+    case base::request_outcome::run:
+    case base::request_outcome::may_have_run:
+        ++counters.answered_may_have_run;
+        break;
+    }
+    actions.emplace_back(refuse_request{local, kind, status});
+}
+
+void resolver::start(base::local_request_id local, request_id const& id, std::string const& text,
+                     base::time_point deadline, base::time_point now, witness_ledger& witnessed,
+                     claim_counters& counters, claim_actions& actions)
+{
+    if (texts_.size() >= limits_.max_resolving)
+    {
+        ++counters.resolutions_refused;
+        append_answer(local, error_kind::may_have_run, 0, counters, actions);
+        return;
+    }
+    ++counters.resolutions_started;
+    auto const [it, added] = tasks_.try_emplace(text);
+    texts_[local] = text;
+    it->second.waiters[local] = deadline;
+    if (!added)
+    {
+        schedule(it);
+        return;
+    }
+    auto& t = it->second;
+    t.id = id;
+    auto const& issued = id.issued;
+    // This instance is the primary only in an earlier incarnation, or has forgotten the id.
+    t.primary = issued.primary.instance == self_.instance ? source_state::lost : source_state::open;
+    auto const is_own_earlier =
+        issued.witness && issued.witness->instance == self_.instance && *issued.witness != self_;
+    t.witness = !issued.witness || is_own_earlier ? source_state::lost : source_state::open;
+    if (issued.witness && *issued.witness == self_ &&
+        ask_witness(it, now, witnessed, counters, actions))
+    {
+        return;
+    }
+    ask(it, now, witnessed, counters, actions);
+}
+
+void resolver::on_resolution(entry_incarnation const& from, messages::resolution const& it,
+                             base::time_point now, witness_ledger& witnessed,
+                             claim_counters& counters, claim_actions& actions)
+{
+    auto const found = tasks_.find(it.request_id);
+    if (found == tasks_.end())
+    {
+        return;
+    }
+    auto& t = found->second;
+    auto const& issued = t.id.issued;
+    auto const is_primary = from.instance == issued.primary.instance;
+    auto const is_witness = issued.witness && from.instance == issued.witness->instance;
+    if (!is_primary && !is_witness)
+    {
+        ++counters.ignored_messages;
+        return;
+    }
+    auto const& named = is_primary ? issued.primary : *issued.witness;
+    auto& source = is_primary ? t.primary : t.witness;
+    // A later process of the same instance remembers nothing of this id.
+    auto const state = from == named ? it.state : request_state::unknown;
+    auto const knew = source;
+    if (take(found, source, state, it.status, counters, actions))
+    {
+        return;
+    }
+    if (is_primary && t.primary == source_state::lost && knew != source_state::lost)
+    {
+        ask(found, now, witnessed, counters, actions);
+    }
+}
+
+void resolver::on_peer_unreachable(base::instance_id const& peer, base::time_point now,
+                                   witness_ledger& witnessed, claim_counters& counters,
+                                   claim_actions& actions)
+{
+    std::vector<std::string> affected;
+    for (auto const& [text, t] : tasks_)
+    {
+        if (t.id.issued.primary.instance == peer && t.primary != source_state::lost)
+        {
+            affected.push_back(text);
+        }
+    }
+    std::sort(affected.begin(), affected.end());
+    for (auto const& text : affected)
+    {
+        auto const it = tasks_.find(text);
+        it->second.primary = source_state::silent;
+        ask(it, now, witnessed, counters, actions);
+    }
+}
+
+void resolver::remove(base::local_request_id local)
+{
+    auto const text = texts_.find(local);
+    if (text == texts_.end())
+    {
+        return;
+    }
+    auto const it = tasks_.find(text->second);
+    texts_.erase(text);
+    it->second.waiters.erase(local);
+    if (it->second.waiters.empty())
+    {
+        erase(it);
+    }
+}
+
+void resolver::tick(base::time_point now, witness_ledger& witnessed, claim_counters& counters,
+                    claim_actions& actions)
+{
+    while (!timers_.empty() && timers_.begin()->first <= now)
+    {
+        auto const it = tasks_.find(timers_.begin()->second);
+        timers_.erase(timers_.begin());
+        answer_late(it, now, counters, actions);
+        if (it->second.waiters.empty())
+        {
+            erase(it);
+        }
+        else if (it->second.asks_at <= now)
+        {
+            ask(it, now, witnessed, counters, actions);
+        }
+        else
+        {
+            schedule(it);
+        }
+    }
+}
+
+std::optional<base::time_point> resolver::next_timer() const
+{
+    if (timers_.empty())
+    {
+        return std::nullopt;
+    }
+    return timers_.begin()->first;
+}
+
+void resolver::ask(tasks::iterator it, base::time_point now, witness_ledger& witnessed,
+                   claim_counters& counters, claim_actions& actions)
+{
+    auto& t = it->second;
+    if (t.primary_asked && t.primary == source_state::open)
+    {
+        t.primary = source_state::silent;
+    }
+    if (t.primary != source_state::lost)
+    {
+        t.primary_asked = true;
+        // A primary that was running is asked again; without an answer it counts as silent.
+        if (t.primary == source_state::running)
+        {
+            t.primary = source_state::open;
+        }
+        actions.emplace_back(
+            send_message{t.id.issued.primary.instance, messages::resolve{it->first}});
+    }
+    auto const primary_answers = t.primary == source_state::open;
+    if (!primary_answers && ask_witness(it, now, witnessed, counters, actions))
+    {
+        return;
+    }
+    if (conclude(it, counters, actions))
+    {
+        return;
+    }
+    t.asks_at = now + limits_.resolve_interval;
+    schedule(it);
+}
+
+bool resolver::ask_witness(tasks::iterator it, base::time_point now, witness_ledger& witnessed,
+                           claim_counters& counters, claim_actions& actions)
+{
+    auto& t = it->second;
+    if (t.witness == source_state::lost)
+    {
+        return false;
+    }
+    auto const& witness = *t.id.issued.witness;
+    if (witness != self_)
+    {
+        actions.emplace_back(send_message{witness.instance, messages::resolve{it->first}});
+        return false;
+    }
+    auto const known = witnessed.resolve(t.id, it->first, now);
+    return take(it, t.witness, known.state, known.status, counters, actions);
+}
+
+bool resolver::take(tasks::iterator it, source_state& source, request_state state,
+                    std::uint32_t status, claim_counters& counters, claim_actions& actions)
+{
+    switch (state)
+    {
+    case request_state::tombstoned:
+        finish(it, error_kind::claim_refused, 0, counters, actions);
+        return true;
+    case request_state::done:
+        finish(it, error_kind::already_run, status, counters, actions);
+        return true;
+    case request_state::running:
+        if (source != source_state::lost)
+        {
+            source = source_state::running;
+        }
+        break;
+    case request_state::unknown:
+        source = source_state::lost;
+        break;
+    }
+    return conclude(it, counters, actions);
+}
+
+bool resolver::conclude(tasks::iterator it, claim_counters& counters, claim_actions& actions)
+{
+    auto const& t = it->second;
+    // A granted request of a lost primary never becomes known at the witness.
+    if (t.primary != source_state::lost ||
+        (t.witness != source_state::lost && t.witness != source_state::running))
+    {
+        return false;
+    }
+    finish(it, error_kind::may_have_run, 0, counters, actions);
+    return true;
+}
+
+void resolver::finish(tasks::iterator it, error_kind kind, std::uint32_t status,
+                      claim_counters& counters, claim_actions& actions)
+{
+    for (auto const& [local, deadline] : it->second.waiters)
+    {
+        append_answer(local, kind, status, counters, actions);
+    }
+    erase(it);
+}
+
+void resolver::answer_late(tasks::iterator it, base::time_point now, claim_counters& counters,
+                           claim_actions& actions)
+{
+    auto& waiters = it->second.waiters;
+    for (auto waiter = waiters.begin(); waiter != waiters.end();)
+    {
+        if (waiter->second > now)
+        {
+            ++waiter;
+            continue;
+        }
+        append_answer(waiter->first, error_kind::may_have_run, 0, counters, actions);
+        texts_.erase(waiter->first);
+        waiter = waiters.erase(waiter);
+    }
+}
+
+void resolver::schedule(tasks::iterator it)
+{
+    auto& t = it->second;
+    timers_.erase({t.wakes_at, it->first});
+    t.wakes_at = t.asks_at;
+    for (auto const& [local, deadline] : t.waiters)
+    {
+        t.wakes_at = std::min(t.wakes_at, deadline);
+    }
+    timers_.emplace(t.wakes_at, it->first);
+}
+
+void resolver::erase(tasks::iterator it)
+{
+    timers_.erase({it->second.wakes_at, it->first});
+    for (auto const& [local, deadline] : it->second.waiters)
+    {
+        texts_.erase(local);
+    }
+    tasks_.erase(it);
+}
+
+void resolver::append_state(std::string& out) const
+{
+    auto const number = [&out](auto value) { out.append(std::to_string(value)).append(","); };
+    std::map<std::string, task> const sorted(tasks_.begin(), tasks_.end());
+    for (auto const& [text, t] : sorted)
+    {
+        out.append(text).append(":");
+        number(static_cast<int>(t.primary));
+        number(static_cast<int>(t.witness));
+        number(t.primary_asked ? 1 : 0);
+        number(t.asks_at.time_since_epoch().count());
+        for (auto const& [local, deadline] : t.waiters)
+        {
+            number(local.value());
+            number(deadline.time_since_epoch().count());
+        }
+    }
+}
+
+} // namespace fuchsiaproxy::requests
