--- a/src/include/fuchsiaproxy/routing/dispatcher.hpp
+++ b/src/include/fuchsiaproxy/routing/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "fuchsiaproxy/base/attempt_result.hpp"
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/time.hpp"
@@ -28,23 +29,7 @@
     base::byte_count size;
 };
 
-/// How an attempt ended.
-enum class attempt_result
-{
-    completed,
-    /// The upstream refused it before it ran (shed status).
-    shed,
-    connect_failed,
-    /// The connection broke before any byte was sent.
-    not_sent,
-    /// The upstream confirmed that it cancelled the request before it started.
-    cancelled_before_start,
-    /// The connection broke or went silent after bytes were sent.
-    broken,
-    timed_out,
-    /// Cancelled by this entry, without knowledge of the upstream's progress.
-    cancelled
-};
+using base::attempt_result;
 
 /// Send the request to this upstream. The second attempt of a request is a hedge or a retry.
 struct start_attempt
