Add the dispatcher: own slots, loans, queue, cost, hedges

Adds the decision class dispatcher with its parts: slot ledger, loan book, ownership by rendezvous hashing, latency estimation, outlier ejection, bounded queue, cost of an upstream and warming. attempt_result gains the value stopped, so that a confirmed cancellation frees its slot at once; the slot of an attempt with unknown end is kept until its deadline.

--- a/src/include/fuchsiaproxy/routing/dispatcher.hpp
+++ b/src/include/fuchsiaproxy/routing/dispatcher.hpp
@@ -2,7 +2,9 @@
 #define FUCHSIAPROXY_ROUTING_DISPATCHER_HPP
 
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -12,6 +14,8 @@
 #include "fuchsiaproxy/base/units.hpp"
 #include "fuchsiaproxy/messages/messages.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
+#include "fuchsiaproxy/routing/move_permit.hpp"
+#include "fuchsiaproxy/routing/settings.hpp"
 
 namespace fuchsiaproxy::routing
 {
@@ -43,7 +47,10 @@
     broken,
     timed_out,
     /// Cancelled by this entry, without knowledge of the upstream's progress.
-    cancelled
+    cancelled,
+    /// Cancelled by this entry, and the upstream confirmed that it stopped the request after it had
+    /// started.
+    stopped
 };
 
 /// Send the request to this upstream. The second attempt of a request is a hedge or a retry.
@@ -79,6 +86,135 @@
 using dispatch_action = std::variant<start_attempt, cancel_attempt, give_up, send_message>;
 using dispatch_actions = std::vector<dispatch_action>;
 
+/// Who a dispatcher decides for.
+struct dispatcher_identity
+{
+    base::instance_id id;
+    base::region_id region;
+    base::availability_zone_id zone;
+};
+
+/// What a dispatcher did since it was created.
+struct dispatcher_counters
+{
+    std::uint64_t enqueued = 0;
+    std::uint64_t first_attempts = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t refused_early = 0;
+    std::uint64_t refused_full = 0;
+    std::uint64_t expired = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t hedges_won = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t ejections = 0;
+    std::uint64_t probes = 0;
+    std::uint64_t moves = 0;
+    std::uint64_t moves_refused = 0;
+    std::uint64_t borrows_sent = 0;
+    std::uint64_t loans_received = 0;
+    std::uint64_t loans_granted = 0;
+    std::uint64_t borrows_refused = 0;
+    /// Loans whose holder did not give them back in time.
+    std::uint64_t loans_lapsed = 0;
+};
+
+/// One upstream as the dispatcher sees it, for operators.
+struct candidate_info
+{
+    base::upstream_id upstream;
+    base::place_id place;
+    /// Empty when no live entry owns the upstream.
+    base::instance_id owner;
+    base::duration network{};
+    base::duration transfer{};
+    base::duration service{};
+    base::duration cost{};
+    /// Slots that this entry could use now.
+    std::uint32_t free_slots = 0;
+    std::uint32_t in_use = 0;
+    /// Why it gets no work now; "available" when it does.
+    std::string_view reason;
+};
+
+/// Decides which upstream serves each request, and when. It holds the slots that this entry owns or
+/// has borrowed; no more attempts are open at an upstream than it has slots.
+///
+/// Each function appends its actions to `actions`. Times must not decrease from call to call. Not
+/// thread safe: all functions are called on one thread.
+class dispatcher
+{
+public:
+    /// Creates a dispatcher without configuration. `seed` differs between incarnations of an entry:
+    /// it keeps the numbers of their loans apart. `permit` must outlive the dispatcher.
+    dispatcher(dispatcher_identity self, std::uint64_t seed, move_permit& permit,
+               dispatcher_settings const& settings = {});
+    ~dispatcher();
+    dispatcher(dispatcher&&) noexcept;
+    dispatcher& operator=(dispatcher&&) noexcept;
+    dispatcher(dispatcher const&) = delete;
+    dispatcher& operator=(dispatcher const&) = delete;
+
+    /// Takes over a configuration. Work in progress on removed upstreams continues.
+    void configure(model::configuration const& configuration, base::time_point now);
+
+    /// Takes over the view of the live entries, this one included, and recomputes the owners.
+    void set_entries(std::vector<messages::entry_info> const& entries, base::time_point now);
+
+    /// The upstream gets no new work from now on. Unknown upstreams are remembered.
+    void set_leaving(base::upstream_id const& upstream);
+
+    /// The upstream may get work again, for example after it restarted.
+    void clear_leaving(base::upstream_id const& upstream);
+
+    /// Starts, queues or refuses `request`. Its deadline is limited to the largest deadline of the
+    /// service's classes. Precondition: `request.id` was not enqueued before.
+    void enqueue(queued_request const& request, base::time_point now, dispatch_actions& actions);
+
+    /// The head of the answer arrived: the other attempt of the request is cancelled, and the
+    /// request is not tried again. Unknown attempts are ignored.
+    void on_attempt_head(base::attempt_id attempt, base::time_point now, dispatch_actions& actions);
+
+    /// The attempt ended. Its slot is free at once, or at the attempt's deadline when the upstream
+    /// may still work on it (`broken`, `timed_out`, `cancelled`). Unknown attempts are ignored.
+    void on_attempt_finished(base::attempt_id attempt, attempt_result outcome, base::time_point now,
+                             dispatch_actions& actions);
+
+    /// The caller went away: the request leaves the queue; running attempts of idempotent requests
+    /// are cancelled. No `give_up` follows.
+    void on_caller_gone(base::local_request_id request, base::time_point now,
+                        dispatch_actions& actions);
+
+    void on_message(base::instance_id const& from, messages::borrow const& message,
+                    base::time_point now, dispatch_actions& actions);
+    void on_message(base::instance_id const& from, messages::lend const& message,
+                    base::time_point now, dispatch_actions& actions);
+    void on_message(base::instance_id const& from, messages::give_back const& message,
+                    base::time_point now, dispatch_actions& actions);
+
+    /// Does what is due: expiry, hedges, probes, the end of loans.
+    void tick(base::time_point now, dispatch_actions& actions);
+
+    /// Returns when `tick` has to be called next; the largest `time_point` if never.
+    base::time_point next_wakeup(base::time_point now) const;
+
+    /// Returns the upstreams of `service` by ascending cost for a request of class `request_class`,
+    /// those that get no work last. Allocates; meant for operators.
+    std::vector<candidate_info> explain(base::service_id const& service, std::size_t request_class,
+                                        base::byte_count size, base::time_point now) const;
+
+    /// Returns the requests of `service` that wait for a slot.
+    std::size_t queued(base::service_id const& service) const;
+
+    /// Returns the requests that are queued or running, in thousandths of the owned slots.
+    std::uint32_t load_permille() const;
+
+    dispatcher_counters const& counters() const noexcept;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
 } // namespace fuchsiaproxy::routing
 
 #endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/routing/settings.hpp
@@ -0,0 +1,99 @@
+#ifndef FUCHSIAPROXY_ROUTING_SETTINGS_HPP
+#define FUCHSIAPROXY_ROUTING_SETTINGS_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "fuchsiaproxy/base/time.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+/// Parts of the policy that can be turned off to measure what they contribute.
+struct policy_switches
+{
+    bool hedging = true;
+    bool outliers = true;
+    /// Long work holds at most half of the slots of an upstream.
+    bool reserve_for_short = true;
+    bool early_refusal = true;
+    bool loans = true;
+    bool warming = true;
+    /// Costs use the entry's own measurements of an upstream.
+    bool measured_cost = true;
+    bool retries = true;
+    /// A hedge that is slow itself is cancelled: the request is long, and not its upstream.
+    bool hedge_cut = true;
+};
+
+/// Tunable numbers of the dispatcher. The defaults are those of `docs/policy.md`.
+struct dispatcher_settings
+{
+    policy_switches parts;
+    /// Requests that may wait for one service.
+    std::size_t queue_capacity = 256;
+    /// Share of a request's time to its deadline that it may be expected to wait in the queue.
+    double queue_share = 0.5;
+    /// Service time that is assumed before anything was measured.
+    base::duration assumed_service_time = std::chrono::milliseconds(20);
+    /// Rate of the links between regions, for the transfer time.
+    std::uint64_t link_bits_per_second = 4'000'000'000;
+    /// One-way delay inside a zone; the configuration declares only the longer delays.
+    base::duration within_zone = std::chrono::microseconds(100);
+
+    /// Interval at which waiting requests are looked at again when nothing else happens.
+    base::duration recheck_interval = std::chrono::milliseconds(2);
+    /// Extra round trip, compared with the nearest place, that needs no queue to be worth it. It
+    /// covers the other zones of a region.
+    base::duration free_distance = std::chrono::milliseconds(5);
+    /// Time beyond the round trip that a shifted request waits for a slot of its new place.
+    base::duration target_patience = std::chrono::milliseconds(10);
+
+    /// Time for which a lent slot may be used for new attempts.
+    base::duration loan_validity = std::chrono::milliseconds(500);
+    /// An unused lent slot is given back after this time.
+    base::duration loan_linger = std::chrono::milliseconds(20);
+    /// A lender that refused or did not answer is not asked again for this time.
+    base::duration lender_pause = std::chrono::milliseconds(20);
+    /// Longest time that an owner keeps a request for a slot that it cannot fulfil.
+    base::duration borrow_patience = std::chrono::milliseconds(50);
+    /// Time that a lender may take to answer beyond the network delay and its patience.
+    base::duration answer_slack = std::chrono::milliseconds(20);
+    /// A lender that did not answer at all is not asked again for this time.
+    base::duration silent_lender_pause = std::chrono::seconds(1);
+    /// Expected extra wait at a lender for each request for a slot that is already open there.
+    base::duration open_borrow_penalty = std::chrono::milliseconds(2);
+    /// Requests for slots that are open at one lender at a time.
+    std::uint32_t borrows_per_lender = 4;
+    /// Time that entries may need to agree on their view of the live entries. A new owner hands
+    /// out no slot before this time, the loan validity and the largest deadline have passed.
+    base::duration view_lag = std::chrono::seconds(3);
+    /// Extra time after a deadline until the slot of an attempt with unknown end is free; covers
+    /// the network delay by which the upstream's own deadline is later.
+    base::duration deadline_margin = std::chrono::milliseconds(50);
+
+    /// Shares of first attempts that may be followed by a retry or a hedge.
+    double retry_share = 0.02;
+    double hedge_share = 0.03;
+    /// Extra attempts that may be saved up for a burst.
+    double budget_burst = 10;
+    std::uint32_t max_attempts = 3;
+    /// Quantile of the class's service time after which an attempt is hedged.
+    double hedge_quantile = 0.95;
+
+    /// Latency relative to the median of the service at which an upstream is ejected.
+    double outlier_factor = 3.0;
+    /// Share of the upstreams of a service that may be ejected at once.
+    double max_ejected_share = 0.3;
+    /// Time until the first probe of an ejected upstream; doubles with each failed probe.
+    base::duration probe_interval = std::chrono::milliseconds(250);
+    base::duration max_probe_interval = std::chrono::seconds(4);
+
+    /// A class is long when its mean exceeds that of the shortest class by this factor.
+    double long_factor = 3.0;
+};
+
+} // namespace fuchsiaproxy::routing
+
+#endif
--- /dev/null
+++ b/src/routing/admission.cpp
@@ -0,0 +1,203 @@
+#include <algorithm>
+
+#include "dispatcher_state.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+void dispatcher::state::enqueue(queued_request const& request, base::time_point now,
+                                dispatch_actions& actions)
+{
+    ++counts.enqueued;
+    auto const found = service_by_id.find(request.service);
+    if (found == service_by_id.end() || !services[found->second].active)
+    {
+        actions.emplace_back(give_up{request.id, base::error_kind::unknown_service});
+        return;
+    }
+    auto& service = services[found->second];
+    if (free_requests.empty())
+    {
+        free_requests.push_back(static_cast<std::uint32_t>(requests.size()));
+        requests.emplace_back();
+    }
+    auto const index = free_requests.back();
+    free_requests.pop_back();
+    auto& row = requests[index];
+    row = {};
+    row.id = request.id;
+    row.service = found->second;
+    row.request_class =
+        static_cast<std::uint32_t>(std::min(request.request_class, service.classes.size() - 1));
+    row.arrived = request.arrived;
+    row.deadline = std::min(request.deadline, request.arrived + service.largest_deadline);
+    row.size = request.size;
+    row.serial = next_serial++;
+    request_by_id.insert(request.id.value(), index);
+    choose_target(service, row, now);
+
+    queue_entry const entry{service.classes[row.request_class].weight, index, row.deadline,
+                            service.classes[row.request_class].latency.mean()};
+    if (auto const refusal = refuse(service, row, entry, now, actions))
+    {
+        give_up_on(index, *refusal, actions);
+        free_request(index);
+        return;
+    }
+    put_in_queue(index, now);
+    dispatch(found->second, now, actions);
+}
+
+void dispatcher::state::choose_target(service_row& service, request_row& request,
+                                      base::time_point now)
+{
+    for (auto& it : service.shifts)
+    {
+        if (it.from != service.home)
+        {
+            continue;
+        }
+        it.credit += it.percent;
+        if (it.credit >= 100)
+        {
+            it.credit -= 100;
+            request.target = it.to;
+            // One exchange with the lender there, and half a service time for a slot to be free.
+            auto const wait = places[it.to].round_trip + settings.target_patience;
+            request.target_until = std::min(now + wait, now + (request.deadline - now) / 2);
+            return;
+        }
+    }
+}
+
+std::optional<base::error_kind>
+dispatcher::state::refuse(service_row& service, request_row const& request,
+                          queue_entry const& entry, base::time_point now, dispatch_actions& actions)
+{
+    if (now >= request.deadline)
+    {
+        ++counts.expired;
+        return base::error_kind::deadline_unreachable;
+    }
+    if (settings.parts.early_refusal)
+    {
+        auto const wait = expected_wait(service, entry);
+        auto const left = request.deadline - now;
+        auto const allowed = base::duration(static_cast<base::duration::rep>(
+            settings.queue_share * static_cast<double>(left.count())));
+        if (wait + entry.expected_service > left || wait > allowed)
+        {
+            ++counts.refused_early;
+            return base::error_kind::deadline_unreachable;
+        }
+    }
+    if (service.queue.full())
+    {
+        ++counts.refused_full;
+        auto const last = service.queue.size() - 1;
+        auto const victim = service.queue.at(last);
+        if (!request_queue::before(entry, victim))
+        {
+            return base::error_kind::queue_full;
+        }
+        service.queue.erase_at(last);
+        requests[victim.request].queued = false;
+        give_up_on(victim.request, base::error_kind::queue_full, actions);
+        free_request(victim.request);
+    }
+    return std::nullopt;
+}
+
+base::duration dispatcher::state::expected_wait(service_row const& service,
+                                                queue_entry const& it) const
+{
+    // The attempts in flight show how many slots this entry commands while it has a queue.
+    return service.queue.work_before(it) / std::max(service.in_flight, 1U);
+}
+
+void dispatcher::state::put_in_queue(std::uint32_t request, base::time_point now)
+{
+    auto& row = requests[request];
+    auto& service = services[row.service];
+    auto const& kind = service.classes[row.request_class];
+    row.queued = true;
+    service.queue.insert({kind.weight, request, row.deadline, kind.latency.mean()});
+    auto const margin =
+        settings.parts.early_refusal ? kind.latency.median() : base::duration::zero();
+    timers.push(
+        {std::max(now, row.deadline - margin), row.serial, request, timer_kind::queue_expiry});
+}
+
+void dispatcher::state::on_queue_expiry(std::uint32_t request, base::time_point now,
+                                        dispatch_actions& actions)
+{
+    auto& row = requests[request];
+    auto& service = services[row.service];
+    service.queue.erase(request);
+    row.queued = false;
+    ++counts.expired;
+    give_up_on(request, base::error_kind::deadline_unreachable, actions);
+    free_request(request);
+    dispatch(row.service, now, actions);
+}
+
+void dispatcher::state::on_caller_gone(base::local_request_id id, base::time_point now,
+                                       dispatch_actions& actions)
+{
+    auto const index = request_by_id.find(id.value());
+    if (index == no_index)
+    {
+        return;
+    }
+    auto& row = requests[index];
+    auto& service = services[row.service];
+    row.gone = true;
+    if (row.queued)
+    {
+        service.queue.erase(index);
+        row.queued = false;
+    }
+    bool running = false;
+    for (auto const attempt : row.running)
+    {
+        if (attempt == no_index)
+        {
+            continue;
+        }
+        running = true;
+        if (service.classes[row.request_class].idempotent)
+        {
+            cancel(attempts[attempt], actions);
+        }
+    }
+    if (!running)
+    {
+        free_request(index);
+    }
+}
+
+void dispatcher::state::give_up_on(std::uint32_t request, base::error_kind kind,
+                                   dispatch_actions& actions)
+{
+    auto& row = requests[request];
+    if (row.gone)
+    {
+        return;
+    }
+    // An earlier attempt may have run, so the answer must not say "not run".
+    bool const says_not_run = base::answer_for(kind).outcome == base::request_outcome::not_run;
+    if (row.may_have_run && says_not_run)
+    {
+        kind = base::error_kind::upstream_failed;
+    }
+    actions.emplace_back(give_up{row.id, kind});
+}
+
+void dispatcher::state::free_request(std::uint32_t request)
+{
+    request_by_id.erase(requests[request].id.value());
+    requests[request].serial = 0;
+    free_requests.push_back(request);
+}
+
+} // namespace fuchsiaproxy::routing
--- /dev/null
+++ b/src/routing/dispatcher_state.hpp
@@ -0,0 +1,193 @@
+#ifndef FUCHSIAPROXY_ROUTING_DISPATCHER_STATE_HPP
+#define FUCHSIAPROXY_ROUTING_DISPATCHER_STATE_HPP
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "fuchsiaproxy/routing/dispatcher.hpp"
+#include "index_map.hpp"
+#include "loan_book.hpp"
+#include "ownership.hpp"
+#include "slot_ledger.hpp"
+#include "tables.hpp"
+#include "timer_heap.hpp"
+#include "upstream_cost.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+/// Tables of a dispatcher and the rules on them. Rows are referred to by index; strong ids are
+/// translated at the interface only.
+struct dispatcher::state
+{
+    state(dispatcher_identity who, std::uint64_t seed, move_permit& gate,
+          dispatcher_settings const& values);
+
+    // topology.cpp
+    void configure(model::configuration const& configuration, base::time_point now);
+    void set_entries(std::vector<messages::entry_info> const& live, base::time_point now);
+    void set_leaving(base::upstream_id const& upstream, bool leaves);
+
+    // admission.cpp
+    void enqueue(queued_request const& request, base::time_point now, dispatch_actions& actions);
+    void on_caller_gone(base::local_request_id id, base::time_point now, dispatch_actions& actions);
+    void on_queue_expiry(std::uint32_t request, base::time_point now, dispatch_actions& actions);
+    base::duration expected_wait(service_row const& service, queue_entry const& it) const;
+    void choose_target(service_row& service, request_row& request, base::time_point now);
+    std::optional<base::error_kind> refuse(service_row& service, request_row const& request,
+                                           queue_entry const& entry, base::time_point now,
+                                           dispatch_actions& actions);
+    void put_in_queue(std::uint32_t request, base::time_point now);
+    void give_up_on(std::uint32_t request, base::error_kind kind, dispatch_actions& actions);
+    void free_request(std::uint32_t request);
+
+    // selection.cpp
+    struct choice
+    {
+        std::uint32_t upstream = no_index;
+        std::uint32_t loan = no_index;
+        bool is_probe = false;
+    };
+    void dispatch(std::uint32_t service, base::time_point now, dispatch_actions& actions);
+    void dispatch_hedges(service_row& service, base::time_point now, dispatch_actions& actions);
+    bool any_free_slot(service_row const& service, base::time_point now) const;
+    /// Chooses the cheapest upstream with a free slot and passes the gate of its move.
+    std::optional<choice> choose(service_row const& service, request_row& request,
+                                 std::uint32_t strictly_avoid, base::time_point now);
+    std::optional<choice> cheapest(service_row const& service, request_row const& request,
+                                   std::uint32_t avoid, base::time_point now) const;
+    bool worth_the_distance(service_row const& service, base::duration round_trip,
+                            base::duration waited) const;
+    bool is_refused(std::uint32_t place) const;
+    bool takes_work(upstream_row const& up) const;
+    bool has_slot(std::uint32_t upstream, base::time_point now, std::uint32_t& loan) const;
+    bool admits_long(service_row const& service, upstream_row const& up, bool on_loan) const;
+    upstream_cost cost_of(upstream_row const& up, class_row const& kind,
+                          base::byte_count size) const;
+    std::vector<candidate_info> explain(base::service_id const& service, std::size_t request_class,
+                                        base::byte_count size, base::time_point now) const;
+    std::string_view reason_for(std::uint32_t upstream, base::time_point now) const;
+
+    // attempts.cpp
+    void start(std::uint32_t request, choice const& on, bool is_hedge, base::time_point now,
+               dispatch_actions& actions);
+    void on_head(base::attempt_id id, base::time_point now, dispatch_actions& actions);
+    void on_finished(base::attempt_id id, attempt_result outcome, base::time_point now,
+                     dispatch_actions& actions);
+    void return_slot(std::uint32_t upstream, std::uint32_t loan, base::time_point now,
+                     dispatch_actions& actions);
+    void measure(attempt_row const& attempt, attempt_result outcome, base::time_point now);
+    void after_failure(std::uint32_t request, attempt_row const& attempt, attempt_result outcome,
+                       base::time_point now, dispatch_actions& actions);
+    void cancel_other(request_row& request, std::uint32_t keep, dispatch_actions& actions);
+    void on_hedge_due(std::uint32_t attempt, std::uint64_t id, base::time_point now,
+                      dispatch_actions& actions);
+    void update_long_classes(service_row& service);
+    /// Starts a hedge if it can. Returns true when it should be tried again later.
+    bool hedge(std::uint32_t attempt, base::time_point now, dispatch_actions& actions);
+    void on_probe_end(attempt_row const& attempt, bool good, base::time_point now);
+    void on_probe_due(std::uint32_t upstream);
+    float reference_slowness(service_row const& service) const;
+    void eject_if_outlier(std::uint32_t upstream, base::time_point now);
+    std::uint32_t find_attempt(base::attempt_id id) const;
+    void cancel(attempt_row& attempt, dispatch_actions& actions);
+    void release_row(std::uint32_t attempt);
+
+    // lending.cpp
+    void borrow_for(std::uint32_t service, base::time_point now, dispatch_actions& actions);
+    lender_row* choose_lender(service_row& service, std::uint32_t target, base::duration waited,
+                              base::time_point now);
+    void ask(std::uint32_t service, lender_row& lender, base::time_point now,
+             dispatch_actions& actions);
+    void borrow_for_targets(std::uint32_t service, base::time_point now, dispatch_actions& actions);
+    void on_borrow(std::uint32_t from, messages::borrow const& it, base::time_point now,
+                   dispatch_actions& actions);
+    void on_lend(std::uint32_t from, messages::lend const& it, base::time_point now,
+                 dispatch_actions& actions);
+    void on_give_back(std::uint32_t from, messages::give_back const& it, base::time_point now,
+                      dispatch_actions& actions);
+    bool lend_one(std::uint32_t service, std::uint32_t borrower, std::uint64_t number,
+                  base::time_point now, dispatch_actions& actions);
+    void serve_pending(std::uint32_t service, bool only_older, base::time_point now,
+                       dispatch_actions& actions);
+    void expire_pending(std::uint32_t service, base::time_point now, dispatch_actions& actions);
+    void on_borrow_timeout(std::uint32_t loan, std::uint64_t number, base::time_point now);
+    void on_loan_lapsed(std::uint32_t borrower, std::uint64_t number, base::time_point now,
+                        dispatch_actions& actions);
+    void watch_idle(std::uint32_t loan, base::time_point now);
+    void end_held_loan(std::uint32_t loan, bool tell_lender, dispatch_actions& actions);
+    void on_loan_idle(std::uint32_t loan, std::uint64_t number, base::time_point now,
+                      dispatch_actions& actions);
+    void arm_recheck(std::uint32_t service, base::time_point now);
+    void after_slot_change(std::uint32_t service, base::time_point now, dispatch_actions& actions);
+    lender_row* lender_of(service_row& service, std::uint32_t entry);
+
+    void tick(base::time_point now, dispatch_actions& actions);
+    void handle(timer_entry const& it, base::time_point now, dispatch_actions& actions);
+
+    std::uint32_t entry_index(base::instance_id const& id) const;
+    bool owned(upstream_row const& up) const
+    {
+        return up.owner == self_index;
+    }
+
+    dispatcher_identity self;
+    move_permit& permit;
+    dispatcher_settings settings;
+    dispatcher_counters counts;
+
+    std::vector<zone_row> zones;
+    std::vector<entry_row> entries;
+    std::vector<place_row> places;
+    std::vector<upstream_row> upstreams;
+    std::vector<service_row> services;
+    std::unordered_map<base::instance_id, std::uint32_t> entry_by_id;
+    std::unordered_map<base::place_id, std::uint32_t> place_by_id;
+    std::unordered_map<base::upstream_id, std::uint32_t> upstream_by_id;
+    std::unordered_map<base::service_id, std::uint32_t> service_by_id;
+    std::unordered_map<base::availability_zone_id, std::uint32_t> zone_by_id;
+    std::unordered_map<base::region_id, std::uint32_t> region_by_id;
+    std::unordered_set<base::upstream_id> leaving;
+    std::uint32_t self_index = no_index;
+    std::uint32_t self_zone = no_index;
+
+    slot_ledger ledger;
+    loan_book loans;
+    timer_heap timers;
+
+    std::vector<attempt_row> attempts;
+    std::vector<std::uint32_t> free_attempts;
+    std::uint64_t next_serial = 1;
+    std::vector<request_row> requests;
+    std::vector<std::uint32_t> free_requests;
+    index_map request_by_id;
+    std::uint64_t random;
+    /// Places that refused a move of the request that is being placed.
+    std::vector<std::uint32_t> refused_places;
+
+private:
+    std::uint32_t region_index(base::region_id const& id);
+    std::uint32_t zone_index(base::availability_zone_id const& id);
+    base::duration round_trip_to(std::uint32_t zone) const;
+    void configure_zones(model::configuration const& configuration);
+    void configure_service(model::service const& from);
+    void configure_place(model::place const& from);
+    void configure_upstream(model::upstream const& from, std::uint32_t service,
+                            std::uint32_t place);
+    void configure_shifts(model::configuration const& configuration);
+    void assign_owners(base::time_point now);
+    void rebuild_lists();
+    void rebuild_lenders(service_row& service);
+
+    model::distances delays_;
+};
+
+/// Attempt ids hold the row in their low bits and a serial number above.
+constexpr unsigned attempt_row_bits = 20;
+
+} // namespace fuchsiaproxy::routing
+
+#endif
--- /dev/null
+++ b/src/routing/loan_book.hpp
@@ -0,0 +1,74 @@
+#ifndef FUCHSIAPROXY_ROUTING_LOAN_BOOK_HPP
+#define FUCHSIAPROXY_ROUTING_LOAN_BOOK_HPP
+
+#include <cstdint>
+#include <vector>
+
+#include "fuchsiaproxy/base/time.hpp"
+#include "index_map.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+/// A slot that this entry asked for or holds. It belongs to an upstream once it is lent.
+struct held_loan
+{
+    std::uint64_t number = 0;
+    std::uint32_t service = no_index;
+    std::uint32_t lender = no_index;
+    std::uint32_t upstream = no_index;
+    base::time_point asked_at;
+    /// No attempt may start on the slot at or after this time.
+    base::time_point expires;
+    base::time_point idle_since;
+    bool in_use = false;
+    bool idle_timer_armed = false;
+};
+
+/// Borrower's account of its loans. Indices stay valid until the loan is removed.
+class loan_book
+{
+public:
+    /// `first_number` differs between incarnations, so that an old loan is never taken for a new
+    /// one.
+    explicit loan_book(std::uint64_t first_number) : next_number_(first_number) {}
+
+    /// Opens a request for a slot and returns its index.
+    std::uint32_t open(std::uint32_t service, std::uint32_t lender, base::time_point now);
+
+    /// Returns the index of the loan `number`, or `no_index`.
+    std::uint32_t find(std::uint64_t number) const noexcept;
+
+    /// Returns a lent slot of `upstream` that is not in use and valid at `now`, or `no_index`.
+    std::uint32_t idle_on(std::uint32_t upstream, base::time_point now) const noexcept;
+
+    /// Returns how many lent slots of `upstream` are not in use and valid at `now`.
+    std::uint32_t idle_count(std::uint32_t upstream, base::time_point now) const noexcept;
+
+    held_loan& at(std::uint32_t index) noexcept
+    {
+        return loans_[index];
+    }
+    held_loan const& at(std::uint32_t index) const noexcept
+    {
+        return loans_[index];
+    }
+
+    void remove(std::uint32_t index) noexcept;
+
+    /// Returns the indices of the open loans, in no special order.
+    std::vector<std::uint32_t> const& active() const noexcept
+    {
+        return active_;
+    }
+
+private:
+    std::vector<held_loan> loans_;
+    std::vector<std::uint32_t> unused_;
+    std::vector<std::uint32_t> active_;
+    std::uint64_t next_number_;
+};
+
+} // namespace fuchsiaproxy::routing
+
+#endif
--- /dev/null
+++ b/src/routing/request_queue.hpp
@@ -0,0 +1,101 @@
+#ifndef FUCHSIAPROXY_ROUTING_REQUEST_QUEUE_HPP
+#define FUCHSIAPROXY_ROUTING_REQUEST_QUEUE_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "fuchsiaproxy/base/time.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+/// One waiting request. `request` is an index into the dispatcher's table of requests.
+struct queue_entry
+{
+    std::uint32_t weight = 0;
+    std::uint32_t request = 0;
+    base::time_point deadline;
+    base::duration expected_service{};
+};
+
+/// Bounded queue of one service: heavier requests first, and by deadline among equal weights. A
+/// sorted vector is faster than a tree at the few hundred entries that the bound allows.
+class request_queue
+{
+public:
+    explicit request_queue(std::size_t capacity) : capacity_(capacity)
+    {
+        entries_.reserve(capacity + 1);
+    }
+
+    bool full() const noexcept
+    {
+        return entries_.size() >= capacity_;
+    }
+    bool empty() const noexcept
+    {
+        return entries_.empty();
+    }
+    std::size_t size() const noexcept
+    {
+        return entries_.size();
+    }
+    queue_entry const& at(std::size_t n) const noexcept
+    {
+        return entries_[n];
+    }
+
+    /// Precondition: not full.
+    void insert(queue_entry const& it)
+    {
+        entries_.insert(std::upper_bound(entries_.begin(), entries_.end(), it, before), it);
+    }
+
+    void erase_at(std::size_t n)
+    {
+        entries_.erase(entries_.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+
+    /// Removes the entry of `request` if there is one.
+    bool erase(std::uint32_t request)
+    {
+        auto const it = std::find_if(entries_.begin(), entries_.end(),
+                                     [&](auto const& e) { return e.request == request; });
+        if (it == entries_.end())
+        {
+            return false;
+        }
+        entries_.erase(it);
+        return true;
+    }
+
+    /// Returns the expected work of the entries that would be served before `it`.
+    base::duration work_before(queue_entry const& it) const noexcept
+    {
+        base::duration total{};
+        for (auto const& e : entries_)
+        {
+            if (before(it, e))
+            {
+                break;
+            }
+            total += e.expected_service;
+        }
+        return total;
+    }
+
+    static bool before(queue_entry const& a, queue_entry const& b) noexcept
+    {
+        return a.weight != b.weight ? a.weight > b.weight : a.deadline < b.deadline;
+    }
+
+private:
+    std::size_t capacity_;
+    std::vector<queue_entry> entries_;
+};
+
+} // namespace fuchsiaproxy::routing
+
+#endif
--- /dev/null
+++ b/src/routing/selection.cpp
@@ -0,0 +1,298 @@
+#include <algorithm>
+
+#include "dispatcher_state.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+namespace
+{
+
+// Requests at the head of the queue that are tried when the first one finds no upstream.
+constexpr std::size_t scan_limit = 8;
+
+} // namespace
+
+void dispatcher::state::dispatch(std::uint32_t service_index, base::time_point now,
+                                 dispatch_actions& actions)
+{
+    auto& service = services[service_index];
+    if (any_free_slot(service, now))
+    {
+        dispatch_hedges(service, now, actions);
+        std::size_t skipped = 0;
+        while (skipped < std::min(service.queue.size(), scan_limit))
+        {
+            auto const request = service.queue.at(skipped).request;
+            auto const found = choose(service, requests[request], no_index, now);
+            if (!found)
+            {
+                ++skipped;
+                continue;
+            }
+            service.queue.erase_at(skipped);
+            requests[request].queued = false;
+            start(request, *found, false, now, actions);
+        }
+    }
+    if (!service.queue.empty())
+    {
+        borrow_for(service_index, now, actions);
+        arm_recheck(service_index, now);
+    }
+}
+
+void dispatcher::state::dispatch_hedges(service_row& service, base::time_point now,
+                                        dispatch_actions& actions)
+{
+    auto& waiting = service.waiting_hedges;
+    for (std::size_t n = 0; n < waiting.size();)
+    {
+        auto const attempt = find_attempt(base::attempt_id(waiting[n]));
+        if (attempt == no_index || !hedge(attempt, now, actions))
+        {
+            waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(n));
+            continue;
+        }
+        ++n;
+    }
+}
+
+bool dispatcher::state::any_free_slot(service_row const& service, base::time_point now) const
+{
+    std::uint32_t loan = no_index;
+    return std::any_of(service.usable.begin(), service.usable.end(),
+                       [&](auto n) { return has_slot(n, now, loan); });
+}
+
+bool dispatcher::state::takes_work(upstream_row const& up) const
+{
+    auto const& place = places[up.place];
+    return up.active && !up.leaving && place.active && !place.drained;
+}
+
+bool dispatcher::state::has_slot(std::uint32_t upstream, base::time_point now,
+                                 std::uint32_t& loan) const
+{
+    auto const& up = upstreams[upstream];
+    loan = no_index;
+    if (owned(up) && up.settled && ledger.free(upstream) > 0 &&
+        (!settings.parts.warming || ledger.used(upstream) < up.warmth.limit()))
+    {
+        return true;
+    }
+    if (up.borrowed == 0)
+    {
+        return false;
+    }
+    loan = loans.idle_on(upstream, now);
+    return loan != no_index;
+}
+
+bool dispatcher::state::admits_long(service_row const& service, upstream_row const& up,
+                                    bool on_loan) const
+{
+    if (!settings.parts.reserve_for_short)
+    {
+        return true;
+    }
+    if (!on_loan)
+    {
+        return up.long_in_use < std::max(1U, up.slots / 2);
+    }
+    // A borrower does not know what else runs on the upstream; it limits long work to half of all
+    // its attempts.
+    return service.long_in_flight < std::max(1U, (service.in_flight + 1) / 2);
+}
+
+upstream_cost dispatcher::state::cost_of(upstream_row const& up, class_row const& kind,
+                                         base::byte_count size) const
+{
+    auto const& place = places[up.place];
+    bool const other_region = zones[place.zone].region != zones[self_zone].region;
+    float const slowness = settings.parts.measured_cost ? up.health.slowness() : 1.0F;
+    return estimate_cost(place.round_trip, other_region ? settings.link_bits_per_second : 0,
+                         size.value(), kind.latency.mean(), slowness);
+}
+
+bool dispatcher::state::worth_the_distance(service_row const& service, base::duration round_trip,
+                                           base::duration waited) const
+{
+    auto const extra = round_trip - service.nearest;
+    if (extra <= settings.free_distance || waited > extra)
+    {
+        return true;
+    }
+    base::duration work{};
+    for (std::size_t n = 0; n < service.queue.size(); ++n)
+    {
+        work += service.queue.at(n).expected_service;
+    }
+    return work / std::max(service.in_flight, 1U) > extra;
+}
+
+bool dispatcher::state::is_refused(std::uint32_t place) const
+{
+    return std::find(refused_places.begin(), refused_places.end(), place) != refused_places.end();
+}
+
+std::optional<dispatcher::state::choice> dispatcher::state::cheapest(service_row const& service,
+                                                                     request_row const& request,
+                                                                     std::uint32_t avoid,
+                                                                     base::time_point now) const
+{
+    auto const& kind = service.classes[request.request_class];
+    bool const wants_target = request.target != no_index && now < request.target_until &&
+                              !is_refused(request.target) && !places[request.target].drained;
+    std::optional<choice> best;
+    base::duration best_cost = base::duration::max();
+    std::uint32_t best_in_use = 0;
+    // Starts at a varying upstream, so that equal ones get equal work.
+    auto const count = service.usable.size();
+    auto const first = count == 0 ? 0 : request.serial % count;
+    for (std::size_t step = 0; step < count; ++step)
+    {
+        auto const n = service.usable[(first + step) % count];
+        auto const& up = upstreams[n];
+        std::uint32_t loan = no_index;
+        if (n == avoid || !takes_work(up) || is_refused(up.place) ||
+            (wants_target && up.place != request.target) || !has_slot(n, now, loan) ||
+            (kind.is_long && !admits_long(service, up, loan != no_index)))
+        {
+            continue;
+        }
+        if (up.health.ejected())
+        {
+            if (up.health.probe_ready() && kind.idempotent && !kind.is_long &&
+                request.attempts_made == 0)
+            {
+                return choice{n, loan, true};
+            }
+            continue;
+        }
+        auto const cost = cost_of(up, kind, request.size).total();
+        if (cost > best_cost || (cost == best_cost && up.in_use >= best_in_use) ||
+            (up.place != request.target &&
+             !worth_the_distance(service, places[up.place].round_trip, now - request.arrived)))
+        {
+            continue;
+        }
+        best = choice{n, loan, false};
+        best_cost = cost;
+        best_in_use = up.in_use;
+    }
+    return best;
+}
+
+std::optional<dispatcher::state::choice> dispatcher::state::choose(service_row const& service,
+                                                                   request_row& request,
+                                                                   std::uint32_t strictly_avoid,
+                                                                   base::time_point now)
+{
+    refused_places.clear();
+    bool const strict = strictly_avoid != no_index;
+    auto avoid = strict ? strictly_avoid : request.avoid;
+    for (;;)
+    {
+        auto const found = cheapest(service, request, avoid, now);
+        if (!found)
+        {
+            if (strict || avoid == no_index)
+            {
+                return std::nullopt;
+            }
+            // The upstream that failed is better than none.
+            avoid = no_index;
+            continue;
+        }
+        auto const place = upstreams[found->upstream].place;
+        if (place == service.home)
+        {
+            return found;
+        }
+        if (permit.try_move(places[service.home].id, places[place].id, request.size, now))
+        {
+            ++counts.moves;
+            return found;
+        }
+        ++counts.moves_refused;
+        refused_places.push_back(place);
+    }
+}
+
+std::string_view dispatcher::state::reason_for(std::uint32_t upstream, base::time_point now) const
+{
+    auto const& up = upstreams[upstream];
+    std::uint32_t loan = no_index;
+    if (up.leaving)
+    {
+        return "leaving";
+    }
+    if (places[up.place].drained)
+    {
+        return "drained";
+    }
+    if (up.health.ejected())
+    {
+        return "ejected";
+    }
+    if (up.owner == no_index)
+    {
+        return "no owner";
+    }
+    if (has_slot(upstream, now, loan))
+    {
+        return "available";
+    }
+    if (!owned(up))
+    {
+        return "no loan";
+    }
+    if (!up.settled)
+    {
+        return "takeover";
+    }
+    return ledger.free(upstream) == 0 ? "slots in use" : "warming";
+}
+
+std::vector<candidate_info> dispatcher::state::explain(base::service_id const& service,
+                                                       std::size_t request_class,
+                                                       base::byte_count size,
+                                                       base::time_point now) const
+{
+    std::vector<candidate_info> list;
+    auto const found = service_by_id.find(service);
+    if (found == service_by_id.end() || services[found->second].classes.empty())
+    {
+        return list;
+    }
+    auto const& row = services[found->second];
+    auto const& kind = row.classes[std::min(request_class, row.classes.size() - 1)];
+    for (auto const n : row.upstreams)
+    {
+        auto const& up = upstreams[n];
+        auto const cost = cost_of(up, kind, size);
+        candidate_info it;
+        it.upstream = up.id;
+        it.place = places[up.place].id;
+        it.owner = up.owner == no_index ? base::instance_id() : entries[up.owner].id;
+        it.network = cost.network;
+        it.transfer = cost.transfer;
+        it.service = cost.service;
+        it.cost = cost.total();
+        it.in_use = up.in_use;
+        it.free_slots = (owned(up) && up.settled ? ledger.free(n) : 0) + loans.idle_count(n, now);
+        it.reason = reason_for(n, now);
+        list.push_back(std::move(it));
+    }
+    std::stable_sort(list.begin(), list.end(),
+                     [](auto const& a, auto const& b)
+                     {
+                         bool const a_takes = a.reason == "available";
+                         bool const b_takes = b.reason == "available";
+                         return a_takes != b_takes ? a_takes : a.cost < b.cost;
+                     });
+    return list;
+}
+
+} // namespace fuchsiaproxy::routing
--- /dev/null
+++ b/src/routing/slot_ledger.hpp
@@ -0,0 +1,89 @@
+#ifndef FUCHSIAPROXY_ROUTING_SLOT_LEDGER_HPP
+#define FUCHSIAPROXY_ROUTING_SLOT_LEDGER_HPP
+
+#include <cstdint>
+#include <vector>
+
+#include "fuchsiaproxy/base/time.hpp"
+#include "index_map.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+/// A slot lent to another entry.
+struct granted_loan
+{
+    std::uint64_t number = 0;
+    std::uint32_t borrower = no_index;
+    std::uint32_t upstream = no_index;
+};
+
+/// Owner's account of the slots of upstreams. A slot is free, used by this entry, or lent; it is
+/// never in two of these states.
+class slot_ledger
+{
+public:
+    /// Makes room for upstreams up to index `count - 1`.
+    void resize(std::size_t count)
+    {
+        accounts_.resize(count);
+    }
+
+    void set_slots(std::uint32_t upstream, std::uint32_t slots) noexcept
+    {
+        accounts_[upstream].slots = slots;
+    }
+
+    std::uint32_t used(std::uint32_t upstream) const noexcept
+    {
+        auto const& it = accounts_[upstream];
+        return it.own + it.lent;
+    }
+
+    std::uint32_t free(std::uint32_t upstream) const noexcept
+    {
+        auto const& it = accounts_[upstream];
+        // The configuration may have taken away slots that are in use.
+        return it.slots > it.own + it.lent ? it.slots - it.own - it.lent : 0;
+    }
+
+    /// Precondition: `free(upstream) > 0`.
+    void take(std::uint32_t upstream) noexcept
+    {
+        ++accounts_[upstream].own;
+    }
+    /// Precondition: the slot was taken.
+    void release(std::uint32_t upstream) noexcept
+    {
+        --accounts_[upstream].own;
+    }
+
+    /// Records a loan of one slot. Precondition: `free(upstream) > 0`.
+    void lend(granted_loan const& loan);
+
+    /// Ends a loan; returns the upstream, or `no_index` when there is no such loan.
+    std::uint32_t end_loan(std::uint32_t borrower, std::uint64_t number) noexcept;
+
+    /// Returns whether the loan is open.
+    bool has_loan(std::uint32_t borrower, std::uint64_t number) const noexcept;
+
+    std::size_t open_loans() const noexcept
+    {
+        return loans_.size();
+    }
+
+private:
+    struct account
+    {
+        std::uint32_t slots = 0;
+        std::uint32_t own = 0;
+        std::uint32_t lent = 0;
+    };
+
+    std::vector<account> accounts_;
+    std::vector<granted_loan> loans_;
+};
+
+} // namespace fuchsiaproxy::routing
+
+#endif
--- /dev/null
+++ b/src/routing/tables.hpp
@@ -0,0 +1,190 @@
+#ifndef FUCHSIAPROXY_ROUTING_TABLES_HPP
+#define FUCHSIAPROXY_ROUTING_TABLES_HPP
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "attempt_budget.hpp"
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/units.hpp"
+#include "fuchsiaproxy/model/configuration.hpp"
+#include "index_map.hpp"
+#include "latency_estimator.hpp"
+#include "outlier_detector.hpp"
+#include "request_queue.hpp"
+#include "warm_up.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+/// Another entry, or this one. Indices of entries are never reused.
+struct entry_row
+{
+    base::instance_id id;
+    std::uint64_t hash = 0;
+    std::uint32_t zone = no_index;
+    std::uint32_t region = no_index;
+    base::duration round_trip{};
+    bool live = false;
+    bool draining = false;
+};
+
+struct zone_row
+{
+    base::availability_zone_id id;
+    std::uint32_t region = no_index;
+    base::duration round_trip{};
+};
+
+struct place_row
+{
+    base::place_id id;
+    std::uint32_t service = no_index;
+    std::uint32_t zone = no_index;
+    base::duration round_trip{};
+    bool active = false;
+    bool drained = false;
+};
+
+struct upstream_row
+{
+    base::upstream_id id;
+    model::endpoint at;
+    std::uint64_t hash = 0;
+    std::uint32_t service = no_index;
+    std::uint32_t place = no_index;
+    std::uint32_t slots = 0;
+    std::uint32_t owner = no_index;
+    bool active = false;
+    bool leaving = false;
+    /// Whether the owner's slots may be handed out: false until the takeover has ended.
+    bool settled = false;
+    std::uint64_t takeover = 0;
+    /// Attempts of this entry, and how many of them are of long classes.
+    std::uint32_t in_use = 0;
+    std::uint32_t long_in_use = 0;
+    /// Slots borrowed from the owner.
+    std::uint32_t borrowed = 0;
+    warm_up warmth;
+    outlier_detector health;
+};
+
+struct class_row
+{
+    std::uint32_t weight = 1;
+    bool idempotent = false;
+    bool is_long = false;
+    base::duration deadline{};
+    latency_estimator latency;
+};
+
+struct shift_row
+{
+    std::uint32_t from = no_index;
+    std::uint32_t to = no_index;
+    std::uint32_t percent = 0;
+    /// Hundredths that were not moved yet: each request adds `percent`, each move takes 100.
+    std::uint32_t credit = 0;
+};
+
+/// An entry that may lend slots of a service.
+struct lender_row
+{
+    std::uint32_t entry = no_index;
+    base::duration round_trip{};
+    bool same_region = false;
+    /// Place whose slots it lends, for requests that were shifted there.
+    std::uint32_t place = no_index;
+    std::uint32_t open = 0;
+    base::time_point paused_until;
+};
+
+/// Another entry's request for a slot that could not be fulfilled yet.
+struct pending_borrow
+{
+    std::uint32_t borrower = no_index;
+    std::uint64_t number = 0;
+    base::time_point received;
+};
+
+struct service_row
+{
+    service_row(base::service_id name, std::size_t queue_capacity, double retry_share,
+                double hedge_share, double burst)
+        : id(std::move(name)), queue(queue_capacity), retries(retry_share, burst),
+          hedges(hedge_share, burst)
+    {
+    }
+
+    base::service_id id;
+    bool active = false;
+    std::vector<class_row> classes;
+    std::vector<std::uint32_t> places;
+    std::vector<std::uint32_t> upstreams;
+    /// Upstreams of which this entry owns or holds slots.
+    std::vector<std::uint32_t> usable;
+    std::vector<shift_row> shifts;
+    std::vector<lender_row> lenders;
+    std::vector<pending_borrow> pending;
+    std::uint32_t home = no_index;
+    /// Round trip to the nearest place that has owners and is not drained.
+    base::duration nearest{};
+    base::duration largest_deadline{};
+    request_queue queue;
+    /// Attempts that are due for a hedge and wait for a slot.
+    std::vector<std::uint64_t> waiting_hedges;
+    bool recheck_armed = false;
+    attempt_budget retries;
+    attempt_budget hedges;
+    std::uint32_t in_flight = 0;
+    std::uint32_t long_in_flight = 0;
+    std::uint32_t open_borrows = 0;
+    std::uint32_t ejected = 0;
+    std::uint32_t owned_slots = 0;
+};
+
+struct attempt_row
+{
+    std::uint64_t id = 0;
+    std::uint32_t request = no_index;
+    std::uint32_t upstream = no_index;
+    std::uint32_t service = no_index;
+    std::uint32_t request_class = 0;
+    /// Index of the loan whose slot it uses; `no_index` for an owned slot.
+    std::uint32_t loan = no_index;
+    base::time_point started;
+    base::time_point deadline;
+    bool is_hedge = false;
+    bool is_probe = false;
+    bool is_long = false;
+    bool cancelling = false;
+};
+
+struct request_row
+{
+    base::local_request_id id;
+    std::uint32_t service = no_index;
+    std::uint32_t request_class = 0;
+    base::time_point arrived;
+    base::time_point deadline;
+    base::byte_count size;
+    /// Place that a shift chose, or `no_index`.
+    std::uint32_t target = no_index;
+    /// Until then the request waits for a slot of its target.
+    base::time_point target_until;
+    /// Upstream of the previous attempt, which a further attempt avoids.
+    std::uint32_t avoid = no_index;
+    std::uint32_t attempts_made = 0;
+    std::array<std::uint32_t, 2> running{no_index, no_index};
+    std::uint64_t serial = 0;
+    bool queued = false;
+    bool answered = false;
+    bool gone = false;
+    bool may_have_run = false;
+    bool hedged = false;
+};
+
+} // namespace fuchsiaproxy::routing
+
+#endif
--- /dev/null
+++ b/src/routing/timer_heap.hpp
@@ -0,0 +1,82 @@
+#ifndef FUCHSIAPROXY_ROUTING_TIMER_HEAP_HPP
+#define FUCHSIAPROXY_ROUTING_TIMER_HEAP_HPP
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "fuchsiaproxy/base/time.hpp"
+
+namespace fuchsiaproxy::routing
+{
+
+enum class timer_kind : std::uint8_t
+{
+    queue_expiry,
+    hedge_due,
+    hold_end,
+    loan_expiry,
+    loan_idle,
+    borrow_timeout,
+    pending_expiry,
+    probe_due,
+    recheck,
+    takeover_end
+};
+
+/// Something that is due at `at`. `stamp` tells a timer whose subject was replaced.
+struct timer_entry
+{
+    base::time_point at;
+    std::uint64_t stamp = 0;
+    std::uint32_t index = 0;
+    timer_kind kind = timer_kind::queue_expiry;
+};
+
+/// Timers by time. A timer is never removed early: its handler checks whether it still applies.
+class timer_heap
+{
+public:
+    timer_heap()
+    {
+        heap_.reserve(initial_capacity);
+    }
+
+    void push(timer_entry const& it)
+    {
+        heap_.push_back(it);
+        std::push_heap(heap_.begin(), heap_.end(), later);
+    }
+
+    /// Moves the earliest timer to `out` and returns true if it is due at `now`.
+    bool pop_due(base::time_point now, timer_entry& out)
+    {
+        if (heap_.empty() || heap_.front().at > now)
+        {
+            return false;
+        }
+        out = heap_.front();
+        std::pop_heap(heap_.begin(), heap_.end(), later);
+        heap_.pop_back();
+        return true;
+    }
+
+    base::time_point next() const noexcept
+    {
+        return heap_.empty() ? base::time_point::max() : heap_.front().at;
+    }
+
+private:
+    static constexpr std::size_t initial_capacity = 4096;
+
+    static bool later(timer_entry const& a, timer_entry const& b) noexcept
+    {
+        return a.at > b.at;
+    }
+
+    std::vector<timer_entry> heap_;
+};
+
+} // namespace fuchsiaproxy::routing
+
+#endif
