--- a/src/include/fuchsiaproxy/base/attempt_result.hpp
+++ b/src/include/fuchsiaproxy/base/attempt_result.hpp
@@ -19,7 +19,10 @@
     broken,
     timed_out,
     /// Cancelled by this entry, without knowledge of the upstream's progress.
-    cancelled
+    cancelled,
+    /// Cancelled by this entry, and the upstream confirmed that it stopped the request after it had
+    /// started.
+    stopped
 };
 
 } // namespace fuchsiaproxy::base
