model: configuration as JSON, validation, changes, manifest and membership

Ruled out: a 64-bit content hash for segments, because a collision would put the wrong segment in force.

--- /dev/null
+++ b/src/model/apply_change_test.cpp
@@ -0,0 +1,361 @@
+#include "fixture_test.hpp"
+
+#include <functional>
+
+#include "fuchsiaproxy/model/adoption.hpp"
+#include "fuchsiaproxy/model/membership.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::model;
+using base::error_kind;
+using base::organisation_id;
+using test::command_of;
+using test::head_of;
+using test::two_members;
+
+namespace
+{
+
+place_loads loads_of(double a, double b)
+{
+    return {{base::place_id("s-a"), a}, {base::place_id("s-b"), b}};
+}
+
+bool has_member(configuration const& c, std::string const& id)
+{
+    return is_member(c, organisation_id(id));
+}
+
+} // namespace
+
+TEST_GROUP(configuration_validation){};
+
+// Guards against a configuration that is accepted although it cannot be put in force safely.
+TEST(configuration_validation, each_rule_refuses_with_its_path)
+{
+    struct row
+    {
+        std::function<void(configuration&)> spoil;
+        char const* message;
+    };
+    std::vector<row> const rows{
+        {[](auto& c) { c.members.clear(); }, "/members: expected at least one member"},
+        {[](auto& c) { c.members[1].operators = c.members[0].operators; },
+         "/members/two/operators/one-op: expected an operator id"},
+        {[](auto& c) { c.services[0].organisation = organisation_id("x"); },
+         "/services/s/organisation: expected a member, found \"x\""},
+        {[](auto& c) { c.places.erase(c.places.begin(), c.places.begin() + 2); },
+         "/services/s: expected at least one place"},
+        {[](auto& c) { c.places[0].service = base::service_id("x"); },
+         "/places/s-a/service: expected a declared service, found \"x\""},
+        {[](auto& c) { c.places[0].zone = base::availability_zone_id("x"); },
+         "/places/s-a/zone: expected a declared zone, found \"x\""},
+        {[](auto& c) { c.places[0].upstreams[0].at.port = 2; },
+         "/places/s-b/upstreams/s-b: expected an address and port"},
+        {[](auto& c) { c.drains = {test::drain_of("x", "one")}; },
+         "/drains/x/place: expected a declared place"},
+        {[](auto& c) { c.drains = {test::drain_of("s-a", "two")}; },
+         "/drains/s-a/organisation: expected the place's organisation, \"one\""},
+        {[](auto& c) {
+             c.drains = {test::drain_of("s-a", "one"), test::drain_of("s-b", "one")};
+         },
+         "/services/s: expected at least one place with an upstream that is not drained"},
+        {[](auto& c) { c.caps[0].split[base::availability_zone_id("b")] = 7; },
+         "/caps/c/split: expected a sum of at most the limit, 10"},
+        {[](auto& c) { c.caps[0].split[base::availability_zone_id("x")] = 0; },
+         "/caps/c/split/x: expected a declared zone"},
+        {[](auto& c) { c.caps[0].to.place = base::place_id("t-a"); },
+         "/caps/c/to/place: expected a place of \"one\""},
+        {[](auto& c) { c.caps[0].from.region = base::region_id("x"); },
+         "/caps/c/from/region: expected a declared region"},
+        {[](auto& c) { c.shifts = {test::shift_of("s-a", "t-b", 1)}; },
+         "/shifts/s-a-to-t-b/to: expected a place of service \"s\""},
+        {[](auto& c) { c.shifts = {test::shift_of("s-a", "s-a", 1)}; },
+         "/shifts/s-a-to-s-a/to: expected another place"},
+        {[](auto& c)
+         {
+             c.shifts = {test::shift_of("s-a", "s-b", 1)};
+             c.drains = {test::drain_of("s-b", "one")};
+         },
+         "/shifts/s-a-to-s-b/to: expected a place that is not drained"},
+        {[](auto& c)
+         {
+             c.shifts = {test::shift_of("s-a", "s-b", 60), test::shift_of("s-a", "s-b", 50)};
+             c.shifts[1].id = base::shift_id("second");
+         },
+         "to add up to at most 100, found 110"},
+        {[](auto& c)
+         {
+             c.shifts = {test::shift_of("s-a", "s-b", 60)};
+             c.places[0].upstreams[0].slots = base::slot_count(8);
+         },
+         "/shifts/s-a-to-s-b/to: expected a load that fits the 4 slots"},
+    };
+    CHECK(validate(two_members()).has_value());
+    for (auto const& it : rows)
+    {
+        auto c = two_members();
+        it.spoil(c);
+        auto const checked = validate(c);
+        CHECK_FALSE(checked.has_value());
+        STRCMP_CONTAINS(it.message, checked.error().message.c_str());
+    }
+}
+
+// Guards against shifts and drains that overload what is left, by measured load.
+TEST(configuration_validation, known_load_limits_shifts_and_drains)
+{
+    auto c = two_members();
+    c.shifts = {test::shift_of("s-a", "s-b", 50)};
+    CHECK(validate(c, loads_of(4, 2)).has_value());
+    CHECK_FALSE(validate(c, loads_of(4, 2.1)).has_value());
+    c.shifts.clear();
+    c.drains = {test::drain_of("s-a", "one")};
+    CHECK(validate(c, loads_of(2, 2)).has_value());
+    CHECK_FALSE(validate(c, loads_of(2.1, 2)).has_value());
+}
+
+TEST_GROUP(changes){};
+
+// Guards against a difference that is not reported, or reported in an order that cannot be applied.
+TEST(changes, a_difference_applied_gives_the_other_configuration)
+{
+    auto const before = two_members();
+    auto after = before;
+    after.shifts = {test::shift_of("s-a", "s-b", 10)};
+    after.drains = {test::drain_of("s-a", "one")};
+    after.caps.clear();
+    after.services[0].objective = 0.9;
+    after.zones.push_back({base::availability_zone_id("c"), base::region_id("q")});
+    auto const changes = diff(before, after);
+    CHECK_EQUAL(std::size_t{5}, changes.size());
+    auto const done = apply_change(head_of(before), before, command_of("1", "one", 1, changes));
+    CHECK(done.has_value());
+    after.version = base::config_version(2);
+    CHECK_EQUAL(to_json(after), to_json(done.value().next));
+    CHECK(diff(done.value().next, after).empty());
+    CHECK_EQUAL(std::string("remove cap \"c\""), describe(changes[0], before));
+}
+
+// Guards against a declaration of one member that removes what belongs to another.
+TEST(changes, the_declaration_of_a_member_leaves_other_members_alone)
+{
+    auto const current = two_members();
+    auto declared = current;
+    declared.services.pop_back();
+    declared.places.erase(declared.places.begin() + 1, declared.places.end());
+    declared.members.clear();
+    auto const changes = diff_of(organisation_id("one"), current, declared);
+    CHECK_EQUAL(std::size_t{1}, changes.size());
+    CHECK_EQUAL(std::string("remove place \"s-b\""), describe(changes[0], current));
+}
+
+// Guards against changes of what belongs to another organisation, directly or by a reference.
+TEST(changes, what_belongs_to_another_organisation_is_refused)
+{
+    auto const c = two_members();
+    auto stolen = c.services[0];
+    stolen.organisation = organisation_id("two");
+    auto moved = c.places[2];
+    moved.service = base::service_id("s");
+    auto zone = c.zones[0];
+    zone.region = base::region_id("q");
+    std::vector<change> const forbidden{
+        put<service>{stolen},
+        removal<service>{base::service_id("s")},
+        put<place>{moved},
+        put<place>{c.places[0]},
+        removal<place>{base::place_id("s-b")},
+        put<cap>{c.caps[0]},
+        removal<cap>{base::cap_id("c")},
+        put<drain>{test::drain_of("s-a", "one")},
+        put<member>{c.members[0]},
+        put<availability_zone>{zone},
+        set_delays{},
+    };
+    for (auto const& it : forbidden)
+    {
+        auto const done = apply_change(head_of(c), c, command_of("1", "two", 1, {it}));
+        CHECK_FALSE(done.has_value());
+        CHECK(done.error().kind == error_kind::forbidden);
+    }
+}
+
+// Guards against a split whose raised part is used before its lowered part is in force.
+TEST(changes, a_split_is_not_raised_and_lowered_at_once)
+{
+    auto const c = two_members();
+    auto changed = c.caps[0];
+    changed.split = {{base::availability_zone_id("a"), 5}, {base::availability_zone_id("b"), 5}};
+    auto const refused =
+        apply_change(head_of(c), c, command_of("1", "one", 1, {put<cap>{changed}}));
+    STRCMP_CONTAINS("/caps/c/split: expected a change that only raises or only lowers",
+                    refused.error().message.c_str());
+    changed.split = {{base::availability_zone_id("b"), 6}};
+    CHECK(apply_change(head_of(c), c, command_of("1", "one", 1, {put<cap>{changed}})).has_value());
+}
+
+// Guards against a command that is applied twice, an id that is reused, and lost races that do not
+// name the winner.
+TEST(changes, commands_are_recorded_replayed_and_told_who_won)
+{
+    auto const c = two_members();
+    auto const first = command_of("first", "two", 1, {put<drain>{test::drain_of("t-a", "two")}});
+    auto const done = apply_change(head_of(c), c, first).value();
+    auto const again = apply_change(done.head, done.next, first).value();
+    CHECK(again.replayed);
+    CHECK(again.record.version == base::config_version(2));
+    CHECK(again.head.version == base::config_version(2));
+
+    auto const reused = command_of("first", "two", 2, {put<drain>{test::drain_of("t-b", "two")}});
+    CHECK(apply_change(done.head, done.next, reused).error().kind == error_kind::invalid_command);
+
+    auto const late = command_of("late", "one", 1, {put<drain>{test::drain_of("s-a", "one")}});
+    auto const lost = apply_change(done.head, done.next, late);
+    CHECK(lost.error().kind == error_kind::conflict);
+    STRCMP_CONTAINS("lost to version 2 by two-op of two at 1970-01-01T00:00:00.000Z",
+                    lost.error().message.c_str());
+}
+
+// Guards against segments that do not add up to the configuration, and a log without a bound.
+TEST(changes, a_manifest_leads_back_to_its_configuration)
+{
+    auto const c = two_members();
+    manifest head;
+    auto const begun = apply_bootstrap(head, c, command_of("begin", "one", 0, {})).value();
+    CHECK(begun.next.version == base::config_version(1));
+    auto const again = apply_bootstrap(begun.head, c, command_of("other", "one", 0, {}));
+    CHECK(again.error().kind == error_kind::conflict);
+    auto const read = parse_manifest(to_json(begun.head)).value();
+    segment_documents documents;
+    for (auto const& it : begun.segments)
+    {
+        documents[it.hash] = it.document;
+    }
+    CHECK_EQUAL(to_json(begun.next), to_json(assemble(read, documents).value()));
+    documents.begin()->second += " ";
+    CHECK(assemble(read, documents).error().kind == error_kind::invalid_configuration);
+    documents.erase(documents.begin());
+    CHECK(assemble(read, documents).error().kind == error_kind::not_found);
+
+    command_log log;
+    for (std::uint64_t n = 0; n < 70; ++n)
+    {
+        command_record it;
+        it.command = base::command_id(std::to_string(n));
+        log.append(it);
+    }
+    CHECK_EQUAL(max_logged_commands, log.records().size());
+    CHECK(log.find(base::command_id("5")) == nullptr);
+    CHECK(log.find(base::command_id("6")) != nullptr);
+}
+
+TEST_GROUP(membership){};
+
+// Guards against a newcomer that is admitted without the approval of every current member (I9).
+TEST(membership, approvals_of_all_current_members_admit)
+{
+    struct row
+    {
+        char const* by;
+        change what;
+        error_kind refused;
+        bool three;
+        bool four;
+    };
+    auto const none = error_kind::internal; // Marks a step that is accepted.
+    organisation_id const three("three");
+    organisation_id const four("four");
+    auto forged = test::join_of("three");
+    forged.approvals = {organisation_id("one"), organisation_id("two")};
+    std::vector<row> const steps{
+        {"one", put<join_request>{forged}, error_kind::invalid_configuration, false, false},
+        {"one", put<member>{test::member_with_operator("three")}, error_kind::invalid_configuration,
+         false, false},
+        {"one", approve_join{three}, error_kind::not_found, false, false},
+        {"one", put<join_request>{test::join_of("three")}, none, false, false},
+        {"one", put<join_request>{test::join_of("three")}, error_kind::conflict, false, false},
+        {"two", put<join_request>{test::join_of("four")}, none, false, false},
+        {"one", approve_join{three}, none, false, false},
+        {"one", approve_join{three}, none, false, false},
+        {"three", approve_join{three}, error_kind::forbidden, false, false},
+        {"one", withdraw_approval{three}, none, false, false},
+        {"two", approve_join{three}, none, false, false},
+        {"two", withdraw_approval{four}, error_kind::not_found, false, false},
+        {"one", approve_join{four}, none, false, false},
+        {"one", approve_join{three}, none, true, false},
+        {"one", withdraw_approval{three}, error_kind::not_found, true, false},
+        // "three" is a member now, so the approvals of "one" and "two" no longer suffice.
+        {"two", approve_join{four}, none, true, false},
+        {"three", approve_join{four}, none, true, true},
+        {"three", removal<member>{four}, error_kind::forbidden, true, true},
+        {"one", removal<member>{organisation_id("one")}, error_kind::invalid_configuration, true,
+         true},
+        {"four", removal<member>{four}, none, true, false},
+    };
+    auto c = two_members();
+    auto head = head_of(c);
+    int n = 0;
+    for (auto const& it : steps)
+    {
+        auto const done = apply_change(
+            head, c, command_of(std::to_string(n++), it.by, c.version.value(), {it.what}));
+        CHECK_EQUAL(it.refused == none, done.has_value());
+        if (done.has_value())
+        {
+            head = done.value().head;
+            c = done.value().next;
+        }
+        else
+        {
+            CHECK(done.error().kind == it.refused);
+        }
+        CHECK_EQUAL(it.three, has_member(c, "three"));
+        CHECK_EQUAL(it.four, has_member(c, "four"));
+    }
+}
+
+// Guards against two newcomers that are admitted by one step although the first never approved the
+// second.
+TEST(membership, a_member_that_leaves_admits_only_one_of_two_newcomers)
+{
+    auto c = two_members();
+    c.services.pop_back();
+    c.places.resize(2);
+    for (auto const* id : {"four", "three"})
+    {
+        c.joins.push_back(test::join_of(id));
+        c.joins.back().approvals = {organisation_id("one")};
+    }
+    auto const done = apply_change(
+        head_of(c), c, command_of("1", "two", 1, {removal<member>{organisation_id("two")}}));
+    CHECK(done.has_value());
+    CHECK(has_member(done.value().next, "four"));
+    CHECK_FALSE(has_member(done.value().next, "three"));
+}
+
+TEST_GROUP(adoption){};
+
+// Guards against a configuration that reverts, and an entry that serves without one.
+TEST(adoption, only_higher_versions_are_adopted)
+{
+    adoption it;
+    CHECK_FALSE(it.ready());
+    auto const offer = [&it](std::uint64_t version)
+    {
+        auto c = std::make_shared<configuration>();
+        c->version = base::config_version(version);
+        return it.offer(c);
+    };
+    CHECK_FALSE(it.offer(nullptr));
+    CHECK_FALSE(offer(0));
+    CHECK_FALSE(it.ready());
+    CHECK(offer(3));
+    CHECK(it.ready());
+    CHECK_FALSE(offer(3));
+    CHECK_FALSE(offer(2));
+    CHECK(offer(4));
+    CHECK(it.version() == base::config_version(4));
+}
