Pass the shared configuration by reference

Cause: the linter found a copied shared pointer in engine::on_configuration. Change: the parameter is a const reference; behaviour is the same. Measured: lint of src/engine is clean.

--- a/src/engine/engine_fleet.cpp
+++ b/src/engine/engine_fleet.cpp
@@ -89,7 +89,7 @@
     update_witness(now, out);
 }
 
-bool engine::on_configuration(std::shared_ptr<model::configuration const> offered,
+bool engine::on_configuration(std::shared_ptr<model::configuration const> const& offered,
                               std::string document, base::time_point now, engine_actions& out)
 {
     if (!adoption_.offer(offered))
--- a/src/include/fuchsiaproxy/engine/engine.hpp
+++ b/src/include/fuchsiaproxy/engine/engine.hpp
@@ -100,8 +100,8 @@
 
     /// Takes an accepted configuration with its document; ignores versions that are not higher than
     /// the one in force. Returns whether it is in force now.
-    bool on_configuration(std::shared_ptr<model::configuration const> offered, std::string document,
-                          base::time_point now, engine_actions& out);
+    bool on_configuration(std::shared_ptr<model::configuration const> const& offered,
+                          std::string document, base::time_point now, engine_actions& out);
 
     /// Takes the platform's list: entries, and upstreams that are leaving.
     void on_instances(std::vector<fleet::seed_entry> const& entries,
