Add the data path of an entry: callers, upstreams and relay

The new package http holds what both directions share: strict message reading on top of Beast's parser, framing of outgoing messages, and pooled buffers. Beast alone accepts folded lines, lists of equal lengths and unknown transfer encodings, so the head is checked before Beast sees it.

Sockets are non-blocking: reads and writes are tried at once and waited for only when they would block, so idle connections hold no buffer.

--- /dev/null
+++ b/src/callers/connection.cpp
@@ -0,0 +1,600 @@
+#include "connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstring>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+
+#include "request_parser.hpp"
+
+namespace fuchsiaproxy::callers
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// Closing a socket with unread input resets it, which can destroy the answer on its way. So input
+// is read and dropped until the caller closes, for at most this time and amount.
+constexpr auto linger_limit = std::chrono::seconds(1);
+constexpr std::size_t linger_bytes = 256 * 1024;
+
+// A connection that was accepted just before a drain gets this long to send its first request.
+constexpr auto drain_grace = std::chrono::seconds(1);
+
+bool would_block(error_code const& ec)
+{
+    return ec == asio::error::would_block || ec == asio::error::try_again;
+}
+
+} // namespace
+
+connection::connection(std::shared_ptr<server_core> core, tcp::socket socket, std::string address)
+    : core_(std::move(core)), socket_(std::move(socket)), address_(std::move(address))
+{
+    ++core_->active;
+}
+
+connection::~connection()
+{
+    if (exchange_)
+    {
+        exchange_->detach();
+    }
+}
+
+std::string const& connection::address() const
+{
+    return address_;
+}
+
+void connection::start()
+{
+    error_code ec;
+    socket_.non_blocking(true, ec);
+    socket_.set_option(tcp::no_delay(true), ec);
+    await_request();
+}
+
+void connection::check_limits(base::time_point now)
+{
+    if (now < limit_at_)
+    {
+        return;
+    }
+    limit_at_ = base::time_point::max();
+    switch (phase_)
+    {
+    case phase::waiting:
+        ++core_->counters.idle_closed;
+        linger();
+        return;
+    case phase::head:
+        refuse(base::error_kind::request_timeout);
+        return;
+    case phase::exchange:
+        break;
+    case phase::lingering:
+        close();
+        return;
+    case phase::closed:
+        return;
+    }
+    if (writing_)
+    {
+        ++core_->counters.stalled_answers;
+        on_gone();
+    }
+    else if (awaits_body_)
+    {
+        awaits_body_ = false;
+        body_failure(base::error_kind::request_timeout);
+        core_->handler.body_ready(exchange_->head().id);
+    }
+}
+
+void connection::drain()
+{
+    close_after_ = true;
+    if (phase_ != phase::waiting)
+    {
+        return;
+    }
+    char first = 0;
+    error_code ec;
+    socket_.receive(asio::buffer(&first, 1), tcp::socket::message_peek, ec);
+    if (!ec)
+    {
+        return; // A request has arrived and is about to be read.
+    }
+    if (served_ || !would_block(ec))
+    {
+        linger();
+        return;
+    }
+    limit_at_ = std::min(limit_at_, core_->timers.now() + drain_grace);
+}
+
+void connection::close()
+{
+    if (phase_ == phase::closed)
+    {
+        return;
+    }
+    phase_ = phase::closed;
+    error_code ec;
+    socket_.close(ec);
+    if (exchange_)
+    {
+        end_exchange();
+    }
+    buffer_.release();
+    leave_active();
+    core_->closed(*this);
+}
+
+void connection::leave_active()
+{
+    if (std::exchange(active_, false))
+    {
+        --core_->active;
+        core_->activity_ended();
+    }
+}
+
+void connection::arm()
+{
+    if (armed_ || phase_ == phase::closed)
+    {
+        return;
+    }
+    armed_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code ec)
+                       {
+                           self->armed_ = false;
+                           if (!ec)
+                           {
+                               self->on_readable();
+                           }
+                       });
+}
+
+void connection::on_readable()
+{
+    switch (phase_)
+    {
+    case phase::waiting:
+    case phase::head:
+        on_input();
+        return;
+    case phase::exchange:
+        if (body_done() || body_failed_)
+        {
+            check_caller();
+        }
+        else if (awaits_body_)
+        {
+            on_body_input();
+        }
+        return;
+    case phase::lingering:
+        discard();
+        return;
+    case phase::closed:
+        return;
+    }
+}
+
+std::size_t connection::fill(bool& broken)
+{
+    if (begin_ == end_)
+    {
+        begin_ = end_ = 0;
+    }
+    else if (end_ == http::buffer_bytes && begin_ > 0)
+    {
+        std::memmove(buffer_.data(), buffer_.data() + begin_, end_ - begin_);
+        end_ -= begin_;
+        begin_ = 0;
+    }
+    error_code ec;
+    auto const space = http::buffer_bytes - end_;
+    auto const n = socket_.read_some(asio::buffer(buffer_.data() + end_, space), ec);
+    end_ += static_cast<std::uint32_t>(n);
+    broken = ec && !would_block(ec);
+    return n;
+}
+
+void connection::on_input()
+{
+    if (!buffer_)
+    {
+        buffer_ = core_->buffers.take();
+        if (!buffer_)
+        {
+            refuse(base::error_kind::overloaded);
+            return;
+        }
+        begin_ = end_ = scanned_ = 0;
+    }
+    bool broken = false;
+    fill(broken);
+    if (broken)
+    {
+        close();
+        return;
+    }
+    process();
+}
+
+void connection::process()
+{
+    if (std::exchange(processing_, true))
+    {
+        return;
+    }
+    while ((phase_ == phase::waiting || phase_ == phase::head) && begin_ < end_ && read_head())
+    {
+    }
+    processing_ = false;
+    if (phase_ == phase::waiting && begin_ == end_)
+    {
+        buffer_.release();
+    }
+    if (phase_ == phase::waiting || phase_ == phase::head)
+    {
+        arm();
+    }
+}
+
+bool connection::read_head()
+{
+    auto const input = std::string_view(buffer_.data() + begin_, end_ - begin_);
+    auto const scan = http::scan_head(input, scanned_);
+    if (scan.malformed)
+    {
+        refuse(base::error_kind::bad_request);
+        return false;
+    }
+    if (scan.size == 0)
+    {
+        scanned_ = static_cast<std::uint32_t>(input.size());
+        if (input.size() >= http::buffer_bytes)
+        {
+            refuse(base::error_kind::header_too_large);
+        }
+        else if (phase_ == phase::waiting)
+        {
+            phase_ = phase::head;
+            limit_at_ = core_->timers.now() + core_->settings.header_limit;
+        }
+        return false;
+    }
+    scanned_ = 0;
+    begin_ += static_cast<std::uint32_t>(scan.size);
+    begin_exchange(input.substr(0, scan.size));
+    return phase_ == phase::waiting;
+}
+
+void connection::begin_exchange(std::string_view text)
+{
+    if (!reader_)
+    {
+        reader_ = http::message_reader::for_requests();
+    }
+    http::message_head head;
+    auto const error = reader_->read_head(text, false, head);
+    if (error != http::head_error::none)
+    {
+        refuse(error == http::head_error::too_many_fields ? base::error_kind::header_too_large
+                                                          : base::error_kind::bad_request);
+        return;
+    }
+    auto parsed = parse_request(head);
+    if (!parsed)
+    {
+        refuse(parsed.error().kind);
+        return;
+    }
+    auto request = std::move(parsed).value();
+    if (request.content_length.value_or(0) > core_->settings.max_body_bytes)
+    {
+        refuse(base::error_kind::request_too_large);
+        return;
+    }
+    request.id = base::local_request_id(++core_->last_request);
+    request.caller_address = address_;
+    request.arrived = core_->timers.now();
+    close_after_ = close_after_ || !head.keep_alive;
+    head_request_ = head.method == "HEAD";
+    expects_continue_ = !reader_->done() && head.fields.find("Expect").has_value();
+    body_failed_ = awaits_body_ = head_written_ = false;
+    body_bytes_ = 0;
+    part_ = {};
+    served_ = true;
+    phase_ = phase::exchange;
+    limit_at_ = base::time_point::max();
+    ++core_->counters.requests;
+    ++core_->exchanges;
+    exchange_ = std::make_shared<request_exchange>(shared_from_this(), std::move(request));
+    auto const it = exchange_;
+    auto const whole = body_done() && begin_ == end_;
+    if (whole)
+    {
+        buffer_.release();
+    }
+    core_->handler.request_arrived(it);
+    if (whole && phase_ == phase::exchange && exchange_ == it)
+    {
+        arm();
+    }
+}
+
+void connection::count(base::error_kind kind)
+{
+    auto& counters = core_->counters;
+    switch (kind)
+    {
+    case base::error_kind::bad_request:
+        ++counters.bad_requests;
+        break;
+    case base::error_kind::header_too_large:
+        ++counters.headers_too_large;
+        break;
+    case base::error_kind::request_too_large:
+        ++counters.requests_too_large;
+        break;
+    case base::error_kind::request_timeout:
+        ++counters.request_timeouts;
+        break;
+    default:
+        ++counters.refused_connections;
+        break;
+    }
+}
+
+void connection::refuse(base::error_kind kind)
+{
+    count(kind);
+    auto const& row = base::answer_for(kind);
+    close_after_ = true;
+    auto const body = "{\"error\":\"" + std::string(row.name) + "\"}";
+    auto& text = writer_.begin();
+    http::append_status_line(text, row.http_status);
+    http::append_field(text, "Content-Type", "application/json");
+    http::append_field(text, "Request-Outcome", base::name_of(row.outcome));
+    http::append_field(text, "Connection", "close");
+    writer_.end_head(http::body_framing::counted, body.size());
+    writer_.put(body, true);
+    // The answer fits into an empty socket buffer; a caller that leaves no room for it loses it.
+    writer_.write_to(socket_);
+    linger();
+}
+
+bool connection::body_done() const
+{
+    return reader_->done() && part_.empty();
+}
+
+void connection::check_caller()
+{
+    char first = 0;
+    error_code ec;
+    socket_.receive(asio::buffer(&first, 1), tcp::socket::message_peek, ec);
+    if (!ec)
+    {
+        return; // The next request; it is read after this one, and the end is seen then.
+    }
+    if (would_block(ec))
+    {
+        arm();
+        return;
+    }
+    if (ec == asio::error::eof && !core_->settings.half_close_is_gone)
+    {
+        peer_ended_ = true;
+        close_after_ = true;
+        return;
+    }
+    on_gone();
+}
+
+void connection::on_body_input()
+{
+    bool broken = false;
+    if (fill(broken) == 0)
+    {
+        if (broken)
+        {
+            on_gone();
+            return;
+        }
+        arm();
+        return;
+    }
+    awaits_body_ = false;
+    limit_at_ = base::time_point::max();
+    core_->handler.body_ready(exchange_->head().id);
+}
+
+body_read connection::body_failure(base::error_kind kind)
+{
+    if (!std::exchange(body_failed_, true))
+    {
+        count(kind);
+        body_error_ = kind;
+        close_after_ = true;
+        part_ = {};
+    }
+    return body_read{0, body_state::failed, body_error_};
+}
+
+std::size_t connection::copy_body(char* to, std::size_t size)
+{
+    auto const n = std::min(size, part_.size());
+    std::memcpy(to, part_.data(), n);
+    part_.remove_prefix(n);
+    return n;
+}
+
+/// Unframes the next part of the body. Returns false when more input is needed.
+bool connection::step_body()
+{
+    auto const input = std::string_view(buffer_.data() + begin_, end_ - begin_);
+    auto const step = reader_->next(input);
+    begin_ += static_cast<std::uint32_t>(step.used);
+    part_ = step.data;
+    body_bytes_ += part_.size();
+    auto const stuck = step.used == 0 && input.size() == http::buffer_bytes;
+    if (step.malformed || stuck)
+    {
+        body_failure(base::error_kind::bad_request);
+    }
+    else if (body_bytes_ > core_->settings.max_body_bytes)
+    {
+        body_failure(base::error_kind::request_too_large);
+    }
+    return step.used > 0;
+}
+
+body_read connection::read_body(char* to, std::size_t size)
+{
+    std::size_t copied = 0;
+    bool may_fill = true;
+    while (!body_failed_ && !body_done())
+    {
+        if (!part_.empty())
+        {
+            if (copied == size)
+            {
+                return body_read{copied, body_state::open};
+            }
+            copied += copy_body(to + copied, size - copied);
+            continue;
+        }
+        if (begin_ < end_ && step_body())
+        {
+            continue;
+        }
+        bool broken = false;
+        if (body_failed_ || (may_fill && fill(broken) > 0))
+        {
+            continue;
+        }
+        may_fill = false;
+        if (broken)
+        {
+            post_gone();
+            return body_read{copied, copied > 0 ? body_state::open : body_state::pending};
+        }
+        if (copied > 0)
+        {
+            return body_read{copied, body_state::open};
+        }
+        send_continue();
+        awaits_body_ = true;
+        limit_at_ = core_->timers.now() + core_->settings.body_idle_limit;
+        arm();
+        return body_read{0, body_state::pending};
+    }
+    if (body_failed_)
+    {
+        return body_read{0, body_state::failed, body_error_};
+    }
+    if (begin_ == end_)
+    {
+        buffer_.release();
+        arm();
+    }
+    return body_read{copied, body_state::end};
+}
+
+void connection::send_continue()
+{
+    if (!std::exchange(expects_continue_, false) || head_written_)
+    {
+        return;
+    }
+    constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ec;
+    auto const n = socket_.write_some(asio::buffer(text.data(), text.size()), ec);
+    if (ec || n != text.size())
+    {
+        post_gone();
+    }
+}
+
+void connection::post_gone()
+{
+    if (!std::exchange(gone_posted_, true))
+    {
+        asio::post(core_->io, [self = shared_from_this()]() { self->on_gone(); });
+    }
+}
+
+void connection::on_gone()
+{
+    if (phase_ != phase::exchange)
+    {
+        return;
+    }
+    ++core_->counters.callers_gone;
+    auto const id = exchange_->head().id;
+    close();
+    core_->handler.caller_gone(id);
+}
+
+void connection::await_request()
+{
+    phase_ = phase::waiting;
+    limit_at_ = core_->timers.now() + core_->settings.keep_alive_limit;
+    if (begin_ < end_)
+    {
+        process();
+        return;
+    }
+    buffer_.release();
+    arm();
+}
+
+void connection::linger()
+{
+    phase_ = phase::lingering;
+    limit_at_ = core_->timers.now() + linger_limit;
+    buffer_.release();
+    error_code ec;
+    socket_.shutdown(tcp::socket::shutdown_send, ec);
+    leave_active();
+    if (peer_ended_ || ec)
+    {
+        close();
+        return;
+    }
+    arm();
+}
+
+void connection::discard()
+{
+    std::array<char, 4096> dropped;
+    error_code ec;
+    while (!ec && lingered_ < linger_bytes)
+    {
+        lingered_ += socket_.read_some(asio::buffer(dropped), ec);
+    }
+    if (would_block(ec))
+    {
+        arm();
+        return;
+    }
+    close();
+}
+
+} // namespace fuchsiaproxy::callers
--- /dev/null
+++ b/src/callers/request_parser.hpp
@@ -0,0 +1,18 @@
+#ifndef FUCHSIAPROXY_CALLERS_REQUEST_PARSER_HPP
+#define FUCHSIAPROXY_CALLERS_REQUEST_PARSER_HPP
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/callers/exchange.hpp"
+#include "fuchsiaproxy/http/message_reader.hpp"
+
+namespace fuchsiaproxy::callers
+{
+
+/// Builds the typed head of a request from `head`. Sets neither the id, nor the caller's address,
+/// nor the time. Fails with `bad_request` when the target, `Service`, `Request-Id`, `Deadline-Ms`
+/// or `Expect` is malformed or ambiguous. Thread safe.
+base::result<request_head> parse_request(http::message_head const& head);
+
+} // namespace fuchsiaproxy::callers
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/callers/exchange.hpp
@@ -0,0 +1,147 @@
+#ifndef FUCHSIAPROXY_CALLERS_EXCHANGE_HPP
+#define FUCHSIAPROXY_CALLERS_EXCHANGE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/http/fields.hpp"
+
+namespace fuchsiaproxy::callers
+{
+
+/// What a request asks of the entry.
+enum class request_kind
+{
+    forward,
+    /// `GET /lookup?service=S&zone=Z`: which entries serve the service.
+    look_up
+};
+
+/// Head of a caller's request.
+struct request_head
+{
+    base::local_request_id id;
+    request_kind kind = request_kind::forward;
+    std::string method;
+    /// As received; the path segment that names the service is not removed.
+    std::string target;
+    base::service_id service;
+    /// Zone of the caller; given for look-ups only and may be empty.
+    base::availability_zone_id zone;
+    /// End-to-end fields, without `Deadline-Ms`.
+    http::fields fields;
+    /// Value of `Request-Id`.
+    std::optional<std::string> request_id;
+    /// Value of `Deadline-Ms`: time that was left when the caller sent the request.
+    std::optional<base::duration> time_left;
+    /// Size of the body; absent when the body is chunked, zero when there is none.
+    std::optional<std::uint64_t> content_length;
+    std::string caller_address;
+    base::time_point arrived;
+};
+
+/// Head of an answer.
+struct answer_head
+{
+    unsigned status = 200;
+    /// End-to-end fields, without those of the framing.
+    http::fields fields;
+    /// Size of the body; a body of unknown size is sent in chunks. An answer that has no body by
+    /// its status, or because it answers HEAD, states this size only.
+    std::optional<std::uint64_t> content_length;
+};
+
+/// What a read of a request's body came to.
+enum class body_state
+{
+    /// Bytes were read and there may be more.
+    open,
+    /// Nothing is there yet; `request_handler::body_ready` is called when there is.
+    pending,
+    /// The body is complete. Bytes may have been read too.
+    end,
+    /// The body is malformed, too large or too slow. Answer it with `body_read::error`.
+    failed
+};
+
+/// Result of `exchange::read_body`.
+struct body_read
+{
+    std::size_t size = 0;
+    body_state state = body_state::open;
+    base::error_kind error = base::error_kind::bad_request;
+};
+
+/// One request of a caller and its answer. The functions do nothing once the exchange has ended,
+/// so an answer that comes late never reaches the next request on the connection.
+///
+/// Thread safety: none; used on the thread of its server. No function calls the handler before it
+/// returns.
+class exchange
+{
+public:
+    virtual ~exchange() = default;
+
+    /// Returns the head of the request; valid as long as the exchange object.
+    virtual request_head const& head() const = 0;
+
+    /// Returns whether the exchange has ended, by a complete answer, an abort or the caller's
+    /// leaving.
+    virtual bool ended() const = 0;
+
+    /// Moves up to `size` bytes of the request's body to `to`. The rest waits in the caller's
+    /// connection, so a body that is not read holds at most one buffer of this process.
+    virtual body_read read_body(char* to, std::size_t size) = 0;
+
+    /// Sets the head of the answer, which leaves with the first part of the body or with `flush`.
+    /// Precondition: called once, and not after `answer`.
+    virtual void write_head(answer_head const& head) = 0;
+
+    /// Sends a part of the body; `end` marks the last one. Returns true when `data` is no longer
+    /// needed. After false, `data` has to stay valid, and nothing else may be written, until
+    /// `request_handler::write_ready` or `caller_gone`. The connection is cut when the parts don't
+    /// add up to the stated size. Precondition: `write_head` was called.
+    virtual bool write_body(std::string_view data, bool end) = 0;
+
+    /// Sends what is waiting. Returns as `write_body` does.
+    virtual bool flush() = 0;
+
+    /// Sends a small complete answer. Precondition: `write_head` was not called.
+    virtual void answer(unsigned status, http::fields const& fields, std::string_view body) = 0;
+
+    /// Closes the connection before the end of the answer, so that the caller sees a broken one.
+    virtual void abort() = 0;
+};
+
+/// Receiver of the requests of a `server`. All functions are called on the server's thread, and
+/// none of them but `write_ready` for an exchange that has ended.
+class request_handler
+{
+public:
+    virtual ~request_handler() = default;
+
+    /// A request has arrived. The handler keeps `it` until the exchange has ended.
+    virtual void request_arrived(std::shared_ptr<exchange> it) = 0;
+
+    /// There is more of the body to read, or its end, or its failure.
+    virtual void body_ready(base::local_request_id request) = 0;
+
+    /// What `write_body` or `flush` left waiting has been sent. If it was the end of the answer,
+    /// the exchange has ended.
+    virtual void write_ready(base::local_request_id request) = 0;
+
+    /// The caller has closed its connection or has stopped taking the answer. The exchange has
+    /// ended.
+    virtual void caller_gone(base::local_request_id request) = 0;
+};
+
+} // namespace fuchsiaproxy::callers
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/callers/server.hpp
@@ -0,0 +1,105 @@
+#ifndef FUCHSIAPROXY_CALLERS_SERVER_HPP
+#define FUCHSIAPROXY_CALLERS_SERVER_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/base/timer_service.hpp"
+#include "fuchsiaproxy/callers/exchange.hpp"
+#include "fuchsiaproxy/http/buffer_pool.hpp"
+#include "fuchsiaproxy/model/configuration.hpp"
+
+namespace fuchsiaproxy::callers
+{
+
+/// Limits of a `server`.
+struct server_settings
+{
+    /// Port 0 takes a free port.
+    model::endpoint at;
+    std::size_t max_connections = 10'000;
+    std::size_t max_connections_per_address = 1'000;
+    /// Time from the first byte of a head to its end.
+    base::duration header_limit = std::chrono::seconds(5);
+    /// Longest time without progress in a body, in either direction.
+    base::duration body_idle_limit = std::chrono::seconds(10);
+    /// Longest time between two requests on a connection.
+    base::duration keep_alive_limit = std::chrono::seconds(60);
+    std::uint64_t max_body_bytes = 64 * 1024 * 1024;
+    /// Treats a caller that has closed its sending side as gone, as most proxies do: a closed
+    /// socket looks the same, and the work for it would be wasted. If false, a request that was
+    /// complete before is still answered.
+    bool half_close_is_gone = true;
+};
+
+/// Counts of a `server` since its start.
+struct server_counters
+{
+    std::uint64_t accepted = 0;
+    /// Connections that were closed at once because of a limit or a lack of descriptors.
+    std::uint64_t refused_connections = 0;
+    std::uint64_t requests = 0;
+    /// Requests that were refused while they were read, by kind of error.
+    std::uint64_t bad_requests = 0;
+    std::uint64_t headers_too_large = 0;
+    std::uint64_t requests_too_large = 0;
+    std::uint64_t request_timeouts = 0;
+    /// Keep-alive connections that were closed at their limit.
+    std::uint64_t idle_closed = 0;
+    /// Answers that were cut because the caller stopped reading.
+    std::uint64_t stalled_answers = 0;
+    std::uint64_t callers_gone = 0;
+    std::uint64_t aborted_answers = 0;
+};
+
+/// HTTP/1.1 server for callers. It refuses what is not strict HTTP/1.1 itself and passes complete
+/// request heads to a `request_handler`.
+///
+/// Thread safety: none; used on the thread that runs the io_context.
+class server
+{
+public:
+    /// Creates a server that does not listen yet. `io`, `timers`, `buffers` and `handler` must
+    /// outlive it and the exchanges that it made.
+    server(boost::asio::io_context& io, base::timer_service& timers, http::buffer_pool& buffers,
+           request_handler& handler, server_settings settings);
+
+    /// Closes every connection without calling the handler.
+    ~server();
+
+    server(server const&) = delete;
+    server& operator=(server const&) = delete;
+
+    /// Starts to listen and returns the port. Fails with `invalid_settings` if the address is not
+    /// an IP address or cannot be bound. Precondition: called once.
+    base::result<std::uint16_t> listen();
+
+    /// Drains: stops accepting, closes idle connections, puts `Connection: close` on the answers
+    /// and calls `done` once the last exchange has ended, never before it returns. Precondition:
+    /// called once.
+    void drain(std::function<void()> done);
+
+    /// Returns the number of exchanges that have not ended.
+    std::size_t exchanges() const;
+
+    /// Returns the number of open connections.
+    std::size_t connections() const;
+
+    /// Returns the counts since the start.
+    server_counters const& counters() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace fuchsiaproxy::callers
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -0,0 +1,138 @@
+#ifndef FUCHSIAPROXY_UPSTREAMS_ATTEMPT_HPP
+#define FUCHSIAPROXY_UPSTREAMS_ATTEMPT_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fuchsiaproxy/base/attempt_result.hpp"
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/http/fields.hpp"
+#include "fuchsiaproxy/model/configuration.hpp"
+
+namespace fuchsiaproxy::upstreams
+{
+
+/// Part of a request's body.
+struct body_piece
+{
+    /// Empty when the next bytes have not arrived yet, or at the end.
+    std::string_view data;
+    /// No bytes follow `data`.
+    bool end = false;
+};
+
+/// Body of a request, read by each of its attempts at its own pace.
+///
+/// Thread safety: none; used on the thread of the `client`.
+class body_source
+{
+public:
+    virtual ~body_source() = default;
+
+    /// Returns the size of the body if it is known. Called once, when the attempt sends the head.
+    virtual std::optional<std::uint64_t> body_length(base::attempt_id attempt) = 0;
+
+    /// Returns the bytes from `offset` on; the attempt no longer needs those before. The data
+    /// stays valid until the attempt asks for a later offset or has finished. When the piece is
+    /// empty and not the end, `attempt::body_ready` is to be called later.
+    virtual body_piece body_at(base::attempt_id attempt, std::uint64_t offset) = 0;
+};
+
+/// What an attempt sends, and where.
+struct attempt_request
+{
+    base::attempt_id id;
+    model::endpoint at;
+    std::string method;
+    std::string target;
+    /// End-to-end fields without `Deadline-Ms`.
+    http::fields fields;
+    base::time_point deadline;
+    bool idempotent = false;
+    /// Statuses that, together with the field `Shed: 1`, refuse a request before it runs.
+    std::vector<unsigned> shed_statuses;
+    /// Null when there is no body. Must outlive the attempt.
+    body_source* body = nullptr;
+};
+
+/// Head of an upstream's answer.
+struct answer_head
+{
+    unsigned status = 0;
+    /// End-to-end fields.
+    http::fields fields;
+    /// Absent for a chunked body. An answer to HEAD states the size of a body that does not come.
+    std::optional<std::uint64_t> content_length;
+};
+
+/// How an attempt ended.
+struct attempt_report
+{
+    base::attempt_result result = base::attempt_result::not_sent;
+    /// Status of the answer, or 0 if no head arrived.
+    unsigned status = 0;
+    std::uint64_t bytes_sent = 0;
+    /// Bytes of the answer's body.
+    std::uint64_t bytes_received = 0;
+    /// The upstream asked for no more work: `Connection: close`, or `Draining` in a shed answer.
+    bool upstream_leaving = false;
+};
+
+/// Whether there is something to take from an answer's body.
+struct answer_part
+{
+    /// Empty when the next bytes have not arrived yet, or at the end.
+    std::string_view data;
+    /// The answer is complete with `data`.
+    bool end = false;
+};
+
+/// One attempt at an upstream. The functions do nothing useful after the end, but are safe.
+///
+/// Thread safety: none; used on the thread of the `client`. No function calls `attempt_events`
+/// before it returns.
+class attempt
+{
+public:
+    virtual ~attempt() = default;
+
+    /// Returns the next part of the answer's body. When there is none yet, `attempt_readable` is
+    /// called later. Precondition: `attempt_head` was called.
+    virtual answer_part part() = 0;
+
+    /// Gives back the first `size` bytes of the part that `part()` returned last.
+    virtual void consume(std::size_t size) = 0;
+
+    /// Tells that the body source has more bytes, or its end.
+    virtual void body_ready() = 0;
+
+    /// Stops the attempt and closes its connection. It is reported as `not_sent` if no byte was
+    /// sent, and as `cancelled` otherwise.
+    virtual void cancel() = 0;
+};
+
+/// Receiver of the progress of attempts. All functions are called on the thread of the `client`.
+class attempt_events
+{
+public:
+    virtual ~attempt_events() = default;
+
+    /// The head of the answer has arrived. Not called for shed answers.
+    virtual void attempt_head(base::attempt_id attempt, answer_head const& head) = 0;
+
+    /// `attempt::part` has news.
+    virtual void attempt_readable(base::attempt_id attempt) = 0;
+
+    /// The attempt has ended; called exactly once for each, and last. After `completed` the rest
+    /// of the body can still be taken from the attempt.
+    virtual void attempt_finished(base::attempt_id attempt, attempt_report const& report) = 0;
+};
+
+} // namespace fuchsiaproxy::upstreams
+
+#endif
--- /dev/null
+++ b/src/relay/relay_fixture.hpp
@@ -0,0 +1,120 @@
+#ifndef FUCHSIAPROXY_RELAY_RELAY_FIXTURE_HPP
+#define FUCHSIAPROXY_RELAY_RELAY_FIXTURE_HPP
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../testing/loopback.hpp"
+#include "../testing/manual_timer_service.hpp"
+#include "fuchsiaproxy/callers/server.hpp"
+#include "fuchsiaproxy/relay/relay.hpp"
+
+namespace fuchsiaproxy::relay
+{
+
+/// Records the events of a relay and lets a test decide.
+class recorded_events : public relay_events
+{
+public:
+    struct finished_attempt
+    {
+        base::attempt_id id;
+        upstreams::attempt_report report;
+    };
+
+    void request_arrived(callers::request_head const& head) override
+    {
+        arrived.push_back(head);
+        if (on_request)
+        {
+            on_request(head);
+        }
+    }
+    bool attempt_head(base::attempt_id attempt, unsigned status) override
+    {
+        heads.emplace_back(attempt, status);
+        return accept;
+    }
+    void attempt_finished(base::attempt_id attempt,
+                          upstreams::attempt_report const& report) override
+    {
+        finished.push_back(finished_attempt{attempt, report});
+    }
+    void caller_gone(base::local_request_id request) override
+    {
+        gone.push_back(request);
+    }
+
+    std::function<void(callers::request_head const&)> on_request;
+    bool accept = true;
+    std::vector<callers::request_head> arrived;
+    std::vector<std::pair<base::attempt_id, unsigned>> heads;
+    std::vector<finished_attempt> finished;
+    std::vector<base::local_request_id> gone;
+};
+
+/// A whole data path on loopback: server, relay, client, and one raw upstream.
+struct data_path
+{
+    explicit data_path(upstreams::client_settings client_limits = {},
+                       callers::server_settings server_limits = {})
+        : client(io, timers, buffers, client_limits), mover(io, buffers, client, events),
+          server(io, timers, buffers, mover, at_loopback(std::move(server_limits)))
+    {
+        port = server.listen().value();
+    }
+
+    static callers::server_settings at_loopback(callers::server_settings limits)
+    {
+        limits.at = model::endpoint{"127.0.0.1", 0};
+        return limits;
+    }
+
+    /// Starts the next attempt of `request` at `at`.
+    base::attempt_id attempt(base::local_request_id request, model::endpoint const& at,
+                             bool idempotent = true)
+    {
+        attempt_order order;
+        order.request = request;
+        order.attempt = base::attempt_id(++last_attempt);
+        order.at = at;
+        order.deadline = timers.now() + std::chrono::seconds(2);
+        order.idempotent = idempotent;
+        order.shed_statuses = {503};
+        mover.start_attempt(order);
+        return order.attempt;
+    }
+
+    template <class Condition>
+    bool until(Condition condition)
+    {
+        return testing::run_until(io, condition);
+    }
+
+    boost::asio::io_context io;
+    testing::manual_timer_service timers;
+    http::buffer_pool buffers{4096};
+    recorded_events events;
+    testing::raw_listener upstream{io};
+    upstreams::client client;
+    relay mover;
+    callers::server server;
+    std::uint16_t port = 0;
+    std::uint64_t last_attempt = 0;
+};
+
+inline std::string get(std::string const& target, std::string const& more = {})
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
+}
+
+inline std::string answer_200(std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace fuchsiaproxy::relay
+
+#endif
--- /dev/null
+++ b/src/upstreams/connection.cpp
@@ -0,0 +1,92 @@
+#include "connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+namespace fuchsiaproxy::upstreams
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+connection::connection(boost::asio::io_context& io) : socket_(io) {}
+
+void connection::set_user(connection_user* user)
+{
+    user_ = user;
+}
+
+void connection::connect(tcp::endpoint const& at)
+{
+    error_code ec;
+    socket_.open(at.protocol(), ec);
+    socket_.set_option(tcp::no_delay(true), ec);
+    socket_.async_connect(at,
+                          [self = shared_from_this()](error_code failure)
+                          {
+                              if (self->user_ != nullptr)
+                              {
+                                  error_code ignored;
+                                  self->socket_.non_blocking(true, ignored);
+                                  self->user_->on_connected(failure);
+                              }
+                          });
+}
+
+void connection::arm_read()
+{
+    if (read_armed_)
+    {
+        return;
+    }
+    read_armed_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code ec)
+                       {
+                           self->read_armed_ = false;
+                           if (!ec && self->user_ != nullptr)
+                           {
+                               self->user_->on_readable();
+                           }
+                       });
+}
+
+void connection::arm_write()
+{
+    if (write_armed_)
+    {
+        return;
+    }
+    write_armed_ = true;
+    socket_.async_wait(tcp::socket::wait_write,
+                       [self = shared_from_this()](error_code ec)
+                       {
+                           self->write_armed_ = false;
+                           if (!ec && self->user_ != nullptr)
+                           {
+                               self->user_->on_writable();
+                           }
+                       });
+}
+
+void connection::close()
+{
+    user_ = nullptr;
+    error_code ec;
+    socket_.close(ec);
+}
+
+bool connection::is_quiet()
+{
+    char first = 0;
+    error_code ec;
+    socket_.receive(boost::asio::buffer(&first, 1), tcp::socket::message_peek, ec);
+    return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
+}
+
+tcp::socket& connection::socket()
+{
+    return socket_;
+}
+
+} // namespace fuchsiaproxy::upstreams
