--- /dev/null
+++ b/src/platform/http_client.cpp
@@ -0,0 +1,423 @@
+#include "fuchsiaproxy/platform/http_client.hpp"
+
+#include <deque>
+#include <optional>
+#include <sstream>
+#include <unordered_set>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http.hpp>
+
+namespace fuchsiaproxy::platform
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+struct connection
+{
+    explicit connection(asio::io_context& io) : socket(io) {}
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+};
+
+struct call_state
+{
+    call_state(asio::io_context& io, http_call call, http_client::handler handler)
+        : request(std::move(call)), done(std::move(handler)), deadline(io)
+    {
+    }
+
+    http_call request;
+    http_client::handler done;
+    asio::steady_timer deadline;
+    std::shared_ptr<connection> conn;
+    std::string wire;
+    std::optional<http::response_parser<http::string_body>> parser;
+    /// At least one byte was sent.
+    bool sent = false;
+    /// A write is in progress; whether it sent anything is known when its handler runs.
+    bool writing = false;
+    bool expired = false;
+    bool finished = false;
+};
+
+using call_ptr = std::shared_ptr<call_state>;
+
+std::string serialise(http_call const& call, http_endpoint const& to)
+{
+    http::request<http::string_body> out;
+    out.method_string(call.method);
+    out.target(call.target);
+    out.version(11);
+    out.set(http::field::host, to.address + ":" + std::to_string(to.port));
+    for (auto const& it : call.fields)
+    {
+        out.set(it.name, it.value);
+    }
+    out.body() = call.body;
+    out.prepare_payload();
+    std::ostringstream text;
+    text << out;
+    return text.str();
+}
+
+// A server that closed an idle connection, or sent something unasked on it, makes it readable.
+bool usable(connection& conn)
+{
+    if (!conn.socket.is_open() || conn.buffer.size() > 0)
+    {
+        return false;
+    }
+    error_code ec;
+    char octet = 0;
+    conn.socket.non_blocking(true, ec);
+    conn.socket.receive(asio::buffer(&octet, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+http_answer failed(call_state const& call, std::string why)
+{
+    http_answer out;
+    out.state = call.sent ? http_call_state::sent_unanswered : http_call_state::not_sent;
+    out.failure = std::move(why);
+    return out;
+}
+
+} // namespace
+
+http_endpoint parse_endpoint(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6)
+    {
+        return {};
+    }
+    unsigned port = 0;
+    for (auto n = colon + 1; n < text.size(); ++n)
+    {
+        if (text[n] < '0' || text[n] > '9')
+        {
+            return {};
+        }
+        port = port * 10 + static_cast<unsigned>(text[n] - '0');
+    }
+    if (port > 65535)
+    {
+        return {};
+    }
+    return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+std::string field_of(http_answer const& answer, std::string const& name)
+{
+    for (auto const& it : answer.fields)
+    {
+        if (beast::iequals(it.name, name))
+        {
+            return it.value;
+        }
+    }
+    return {};
+}
+
+class http_client::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context& io, http_endpoint endpoint, http_client_limits limits)
+        : io_(io), endpoint_(std::move(endpoint)), limits_(limits)
+    {
+    }
+
+    void start(http_call request, handler done)
+    {
+        auto call = std::make_shared<call_state>(io_, std::move(request), std::move(done));
+        call->deadline.expires_after(call->request.deadline);
+        call->deadline.async_wait(
+            [self = shared_from_this(), call](error_code ec)
+            {
+                if (!ec)
+                {
+                    self->expire(call);
+                }
+            });
+        asio::post(io_, [self = shared_from_this(), call] { self->admit(call); });
+    }
+
+    void stop()
+    {
+        stopped_ = true;
+        for (auto const& it : active_)
+        {
+            abandon(*it);
+        }
+        for (auto const& it : queued_)
+        {
+            abandon(*it);
+        }
+        active_.clear();
+        queued_.clear();
+        idle_.clear();
+    }
+
+    http_connection_counts const& counts() const noexcept
+    {
+        return counts_;
+    }
+
+private:
+    static void abandon(call_state& call)
+    {
+        call.finished = true;
+        call.done = nullptr;
+        call.deadline.cancel();
+        close(call);
+    }
+
+    static void close(call_state& call)
+    {
+        if (call.conn)
+        {
+            error_code ignored;
+            call.conn->socket.close(ignored);
+        }
+    }
+
+    void admit(call_ptr const& call)
+    {
+        if (stopped_ || call->finished)
+        {
+            call->deadline.cancel();
+            return;
+        }
+        if (active_.size() < limits_.max_connections)
+        {
+            active_.insert(call);
+            connect(call);
+            return;
+        }
+        if (queued_.size() >= limits_.max_queued)
+        {
+            finish(call, failed(*call, "too many calls wait for a connection"));
+            return;
+        }
+        queued_.push_back(call);
+    }
+
+    void connect(call_ptr const& call)
+    {
+        while (!idle_.empty())
+        {
+            call->conn = std::move(idle_.back());
+            idle_.pop_back();
+            if (usable(*call->conn))
+            {
+                write(call);
+                return;
+            }
+        }
+        error_code ec;
+        auto const address = asio::ip::make_address(endpoint_.address, ec);
+        if (ec)
+        {
+            finish(call, failed(*call, "invalid address \"" + endpoint_.address + "\""));
+            return;
+        }
+        call->conn = std::make_shared<connection>(io_);
+        call->conn->socket.async_connect(
+            tcp::endpoint(address, endpoint_.port),
+            [self = shared_from_this(), call](error_code failure)
+            {
+                if (call->finished)
+                {
+                    return;
+                }
+                if (failure)
+                {
+                    self->finish(call, failed(*call, "connect: " + failure.message()));
+                    return;
+                }
+                ++self->counts_.opened;
+                error_code ignored;
+                call->conn->socket.set_option(tcp::no_delay(true), ignored);
+                self->write(call);
+            });
+    }
+
+    void write(call_ptr const& call)
+    {
+        call->wire = serialise(call->request, endpoint_);
+        write_some(call, 0);
+    }
+
+    // Writes piece by piece, so that `sent` is exact when the deadline interrupts the write.
+    void write_some(call_ptr const& call, std::size_t offset)
+    {
+        call->writing = true;
+        call->conn->socket.async_write_some(
+            asio::buffer(call->wire) + offset,
+            [self = shared_from_this(), call, offset](error_code ec, std::size_t n)
+            {
+                call->writing = false;
+                call->sent = call->sent || n > 0;
+                if (call->finished)
+                {
+                    return;
+                }
+                if (call->expired)
+                {
+                    self->finish_expired(call);
+                    return;
+                }
+                if (ec)
+                {
+                    self->finish_broken(call, "write: " + ec.message());
+                    return;
+                }
+                if (offset + n < call->wire.size())
+                {
+                    self->write_some(call, offset + n);
+                    return;
+                }
+                self->read(call);
+            });
+    }
+
+    void read(call_ptr const& call)
+    {
+        call->parser.emplace();
+        call->parser->body_limit(limits_.max_answer_bytes);
+        http::async_read(call->conn->socket, call->conn->buffer, *call->parser,
+                         [self = shared_from_this(), call](error_code ec, std::size_t)
+                         {
+                             if (call->finished)
+                             {
+                                 return;
+                             }
+                             if (ec)
+                             {
+                                 self->finish_broken(call, "read: " + ec.message());
+                                 return;
+                             }
+                             self->answer(call);
+                         });
+    }
+
+    void answer(call_ptr const& call)
+    {
+        auto const keep = call->parser->keep_alive();
+        auto response = call->parser->release();
+        http_answer out;
+        out.state = http_call_state::answered;
+        out.status = response.result_int();
+        for (auto const& it : response)
+        {
+            out.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+        }
+        out.body = std::move(response.body());
+        if (keep)
+        {
+            idle_.push_back(call->conn);
+            call->conn.reset();
+        }
+        finish(call, std::move(out));
+    }
+
+    void finish_broken(call_ptr const& call, std::string why)
+    {
+        ++counts_.failed;
+        finish(call, failed(*call, std::move(why)));
+    }
+
+    void expire(call_ptr const& call)
+    {
+        if (call->finished || stopped_)
+        {
+            return;
+        }
+        if (call->writing)
+        {
+            call->expired = true;
+            close(*call);
+            return;
+        }
+        finish_expired(call);
+    }
+
+    void finish_expired(call_ptr const& call)
+    {
+        if (call->sent)
+        {
+            ++counts_.silent;
+        }
+        finish(call, failed(*call, "deadline passed"));
+    }
+
+    void finish(call_ptr const& call, http_answer out)
+    {
+        call->finished = true;
+        call->deadline.cancel();
+        close(*call);
+        active_.erase(call);
+        auto const done = std::move(call->done);
+        done(std::move(out));
+        start_queued();
+    }
+
+    void start_queued()
+    {
+        while (!stopped_ && !queued_.empty() && active_.size() < limits_.max_connections)
+        {
+            auto const next = queued_.front();
+            queued_.pop_front();
+            if (!next->finished)
+            {
+                active_.insert(next);
+                connect(next);
+            }
+        }
+    }
+
+    asio::io_context& io_;
+    http_endpoint endpoint_;
+    http_client_limits limits_;
+    http_connection_counts counts_;
+    std::unordered_set<call_ptr> active_;
+    std::deque<call_ptr> queued_;
+    std::vector<std::shared_ptr<connection>> idle_;
+    bool stopped_ = false;
+};
+
+http_client::http_client(asio::io_context& io, http_endpoint endpoint, http_client_limits limits)
+    : impl_(std::make_shared<impl>(io, std::move(endpoint), limits))
+{
+}
+
+http_client::~http_client()
+{
+    impl_->stop();
+}
+
+void http_client::start(http_call call, handler done)
+{
+    impl_->start(std::move(call), std::move(done));
+}
+
+http_connection_counts const& http_client::counts() const noexcept
+{
+    return impl_->counts();
+}
+
+} // namespace fuchsiaproxy::platform
