--- /dev/null
+++ b/src/include/fuchsiaproxy/standin/http_server.hpp
@@ -0,0 +1,87 @@
+#ifndef FUCHSIAPROXY_STANDIN_HTTP_SERVER_HPP
+#define FUCHSIAPROXY_STANDIN_HTTP_SERVER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fuchsiaproxy/platform/http_client.hpp"
+
+namespace fuchsiaproxy::standin
+{
+
+/// A request as it arrived; path and query are percent-decoded.
+struct server_request
+{
+    std::string method;
+    std::string path;
+    std::vector<platform::http_field> query;
+    std::vector<platform::http_field> fields;
+    std::string body;
+};
+
+/// Returns the value of the first field called `name` (in any case), or an empty string.
+std::string field_of(server_request const& request, std::string const& name);
+
+/// Returns the value of the query parameter `name`, or an empty string.
+std::string query_of(server_request const& request, std::string const& name);
+
+/// One request that waits for its answer. An exchange that is dropped without an answer leaves its
+/// connection open and silent.
+class server_exchange
+{
+public:
+    virtual ~server_exchange() = default;
+
+    /// Sends the answer. Only the first call of `answer` or `abort` has an effect.
+    virtual void answer(unsigned status, std::string body,
+                        std::vector<platform::http_field> fields = {}) = 0;
+
+    /// Closes the connection without an answer.
+    virtual void abort() = 0;
+
+    /// Calls `call` once if the caller closes the connection before the answer.
+    virtual void on_closed(std::function<void()> call) = 0;
+};
+
+using exchange_ptr = std::shared_ptr<server_exchange>;
+
+/// HTTP/1.1 server of the stand-ins. Thread safety: all calls on the thread that runs `io`.
+class http_server
+{
+public:
+    using handler = std::function<void(server_request, exchange_ptr)>;
+
+    /// Listens at `at`; port 0 takes a free port. Throws `boost::system::system_error` when the
+    /// address cannot be bound. Precondition: `io` outlives the server.
+    http_server(boost::asio::io_context& io, platform::http_endpoint const& at, handler handle);
+    /// Closes all connections.
+    ~http_server();
+    http_server(http_server const&) = delete;
+    http_server& operator=(http_server const&) = delete;
+
+    /// Returns the address that the server listens at.
+    platform::http_endpoint endpoint() const;
+
+    /// Closes a new connection at once while `n` connections are open; 0 means no limit.
+    void limit_connections(std::size_t n);
+
+    /// Returns the number of open connections.
+    std::size_t connections() const;
+
+    /// Closes all connections and goes on listening.
+    void close_connections();
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace fuchsiaproxy::standin
+
+#endif
