--- /dev/null
+++ b/src/fuchsiastandin/commands.hpp
@@ -0,0 +1,25 @@
+#ifndef FUCHSIAPROXY_FUCHSIASTANDIN_COMMANDS_HPP
+#define FUCHSIAPROXY_FUCHSIASTANDIN_COMMANDS_HPP
+
+#include <string>
+
+namespace fuchsiaproxy::standin
+{
+
+constexpr int usage_exit_code = 2;
+
+/// Runs a command with its own arguments, the first of which is its name, and returns the exit
+/// code.
+using command = int (*)(int argc, char** argv);
+
+/// Returns the command called `name`, or null.
+command find_command(std::string const& name);
+
+int run_store(int argc, char** argv);
+int run_upstream(int argc, char** argv);
+int run_caller(int argc, char** argv);
+int run_relay(int argc, char** argv);
+
+} // namespace fuchsiaproxy::standin
+
+#endif
--- a/src/standin/store.cpp
+++ b/src/standin/store.cpp
@@ -80,8 +80,8 @@
         : io_(io), settings_(settings), writes_(settings.writes_per_second),
           reads_(settings.reads_per_second),
           server_(io, at,
-                  [this](server_request request, exchange_ptr const& exchange)
-                  { dispatch(std::move(request), exchange); })
+                  [this](server_request const& request, exchange_ptr const& exchange)
+                  { dispatch(request, exchange); })
     {
     }
 
@@ -136,7 +136,7 @@
 private:
     using watch_list = std::list<std::shared_ptr<waiting_watch>>;
 
-    void dispatch(server_request request, exchange_ptr const& exchange)
+    void dispatch(server_request const& request, exchange_ptr const& exchange)
     {
         try
         {
