Add the configuration reader, the traffic loop and the platform loop

Cause: the decisions need threads, sockets and the platform around them.

Ruled out: separate threads for callers and upstreams; each part of a body would cross a ring. One traffic thread owns both sockets and the engine.

--- /dev/null
+++ b/src/include/fuchsiaproxy/platform/configuration_reader.hpp
@@ -0,0 +1,77 @@
+#ifndef FUCHSIAPROXY_PLATFORM_CONFIGURATION_READER_HPP
+#define FUCHSIAPROXY_PLATFORM_CONFIGURATION_READER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/base/timer_service.hpp"
+#include "fuchsiaproxy/model/configuration.hpp"
+#include "fuchsiaproxy/model/manifest.hpp"
+#include "fuchsiaproxy/platform/store.hpp"
+
+namespace fuchsiaproxy::platform
+{
+
+/// Key of the manifest of the configuration in force.
+constexpr char const* configuration_head_key = "config/head";
+
+/// Returns the key of the segment with `hash`. Thread safe.
+std::string configuration_segment_key(std::string const& hash);
+
+/// An accepted configuration and its JSON text.
+struct accepted_configuration
+{
+    std::shared_ptr<model::configuration const> value;
+    std::string document;
+};
+
+/// Counts of a reader since its start.
+struct configuration_reader_counters
+{
+    std::uint64_t watches = 0;
+    std::uint64_t failed_calls = 0;
+    std::uint64_t stale_answers = 0;
+    std::uint64_t loads = 0;
+    std::uint64_t invalid_manifests = 0;
+};
+
+/// Follows the configuration in the store: reads it once, and watches it while told to.
+///
+/// Thread safety: none; used on the thread of the store and the timers.
+class configuration_reader
+{
+public:
+    using handler = std::function<void(accepted_configuration)>;
+
+    /// `accepted` is called for each configuration that was read, with growing versions. `values`
+    /// and `timers` must outlive the reader.
+    configuration_reader(store& values, base::timer_service& timers, handler accepted);
+    ~configuration_reader();
+
+    configuration_reader(configuration_reader const&) = delete;
+    configuration_reader& operator=(configuration_reader const&) = delete;
+
+    /// Reads the configuration until it was found once. Failed calls are repeated.
+    void read_once();
+
+    /// Starts to watch; no effect while watching.
+    void start_watching();
+
+    /// Ends the watch after the call in progress.
+    void stop_watching();
+
+    /// Returns the counts.
+    configuration_reader_counters const& counters() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace fuchsiaproxy::platform
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/runtime/platform_loop.hpp
@@ -0,0 +1,60 @@
+#ifndef FUCHSIAPROXY_RUNTIME_PLATFORM_LOOP_HPP
+#define FUCHSIAPROXY_RUNTIME_PLATFORM_LOOP_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fuchsiaproxy/platform/configuration_reader.hpp"
+#include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/runtime/asio_timer_service.hpp"
+#include "fuchsiaproxy/runtime/events.hpp"
+#include "fuchsiaproxy/settings/daemon_settings.hpp"
+
+namespace fuchsiaproxy::runtime
+{
+
+/// An entry's dealings with the platform: the store's configuration and the instance list.
+///
+/// Thread safety: none; everything on the platform thread, except the construction.
+class platform_loop
+{
+public:
+    /// `to_traffic` returns false when its ring is full. `io` must outlive the loop.
+    platform_loop(boost::asio::io_context& io, settings::platform_settings const& settings,
+                  std::shared_ptr<platform::platform_counters> counters,
+                  std::function<bool(traffic_event)> to_traffic);
+
+    /// Starts to look for a configuration and for other entries. Precondition: called once, on the
+    /// platform thread.
+    void run();
+
+    /// Handles an order of the traffic thread.
+    void handle(platform_order order);
+
+private:
+    void handle_one(hub_role const& it);
+    void handle_one(parse_document const& it);
+    void handle_one(configuration_known const& it);
+    void read_instances();
+    void deliver(platform::accepted_configuration it);
+
+    asio_timer_service timers_;
+    std::unique_ptr<platform::store> store_;
+    std::unique_ptr<platform::instance_list> list_;
+    std::function<bool(traffic_event)> to_traffic_;
+    platform::configuration_reader reader_;
+    std::unique_ptr<base::timer_subscription> list_timer_;
+    /// Configuration that the full ring of the traffic thread refused.
+    std::optional<platform::accepted_configuration> undelivered_;
+    bool is_hub_ = false;
+    bool knows_configuration_ = false;
+    bool reading_list_ = false;
+};
+
+} // namespace fuchsiaproxy::runtime
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
@@ -0,0 +1,144 @@
+#ifndef FUCHSIAPROXY_RUNTIME_TRAFFIC_LOOP_HPP
+#define FUCHSIAPROXY_RUNTIME_TRAFFIC_LOOP_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/callers/server.hpp"
+#include "fuchsiaproxy/engine/engine.hpp"
+#include "fuchsiaproxy/http/buffer_pool.hpp"
+#include "fuchsiaproxy/relay/relay.hpp"
+#include "fuchsiaproxy/runtime/asio_timer_service.hpp"
+#include "fuchsiaproxy/runtime/events.hpp"
+#include "fuchsiaproxy/settings/daemon_settings.hpp"
+#include "fuchsiaproxy/upstreams/client.hpp"
+
+namespace fuchsiaproxy::runtime
+{
+
+/// Receivers of what the traffic thread has to tell; each returns false if its ring is full.
+struct traffic_outputs
+{
+    std::function<bool(peer_order)> to_peers;
+    std::function<bool(platform_order)> to_platform;
+    /// Called on changes of state, for the log.
+    std::function<void(std::string event, std::string detail)> state_changed;
+};
+
+/// Counts of what the traffic thread could not pass on.
+struct traffic_counters
+{
+    std::uint64_t look_ups = 0;
+    std::uint64_t peer_ring_full = 0;
+    std::uint64_t platform_ring_full = 0;
+};
+
+/// The data path of one entry: caller and upstream sockets around the engine.
+///
+/// Thread safety: none; everything on the traffic thread, except the construction.
+class traffic_loop final : public relay::relay_events
+{
+public:
+    /// `io` is run by the traffic thread only, and must outlive the loop; so must `permit`.
+    traffic_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
+                 messages::entry_info const& self, std::uint64_t seed, routing::move_permit& permit,
+                 traffic_outputs outputs);
+    ~traffic_loop() override;
+
+    traffic_loop(traffic_loop const&) = delete;
+    traffic_loop& operator=(traffic_loop const&) = delete;
+
+    /// Starts to listen for callers; returns the port. Precondition: called once, before `run`.
+    base::result<std::uint16_t> listen();
+
+    /// Starts the timers of the decisions. Precondition: called once, on the traffic thread.
+    void run();
+
+    /// Handles an event from another thread.
+    void handle(traffic_event event);
+
+    /// Stops gracefully: steers callers away, waits for the look-ups' time to live, lets every
+    /// request in flight end, up to the bound in the settings, then calls `done` with the number
+    /// of requests that are left.
+    void drain(std::function<void(std::size_t left)> done);
+
+    /// Returns the engine, for metrics and operators.
+    engine::engine& decisions()
+    {
+        return engine_;
+    }
+
+    /// Returns the counts of the callers' server.
+    callers::server_counters const& server_counts() const
+    {
+        return server_.counters();
+    }
+
+    /// Returns the counts of the upstreams' client.
+    upstreams::client_counters const& client_counts() const
+    {
+        return client_.counters();
+    }
+
+    /// Returns the counts of this loop.
+    traffic_counters const& counts() const
+    {
+        return counters_;
+    }
+
+    void request_arrived(callers::request_head const& head) override;
+    bool attempt_head(base::attempt_id attempt, unsigned status) override;
+    void attempt_finished(base::attempt_id attempt,
+                          upstreams::attempt_report const& report) override;
+    void caller_gone(base::local_request_id request) override;
+
+private:
+    void handle_one(peer_message& it, engine::engine_actions& out);
+    void handle_one(peer_lost& it, engine::engine_actions& out);
+    void handle_one(platform::accepted_configuration& it, engine::engine_actions& out);
+    void handle_one(instances_read& it, engine::engine_actions& out);
+    void handle_one(engine_query& it, engine::engine_actions& out);
+
+    void perform(engine::engine_actions& actions);
+    void perform_one(engine::start_attempt& it);
+    void perform_one(engine::cancel_attempt& it);
+    void perform_one(engine::answer_error& it);
+    void perform_one(engine::send_message& it);
+    void perform_one(engine::use_address& it);
+    void perform_one(engine::hub_role_changed& it);
+    void perform_one(engine::parse_configuration& it);
+    void perform_one(engine::upstream_left& it);
+
+    void answer_look_up(callers::request_head const& head);
+    void schedule_tick();
+    void tick();
+    void stop_accepting();
+
+    settings::daemon_settings settings_;
+    asio_timer_service timers_;
+    http::buffer_pool buffers_;
+    engine::engine engine_;
+    upstreams::client client_;
+    relay::relay relay_;
+    callers::server server_;
+    traffic_outputs outputs_;
+    traffic_counters counters_;
+    /// Requests that came without an id; the upstream gets the one that the entry made.
+    std::unordered_set<base::local_request_id> without_id_;
+    std::unordered_set<base::instance_id> unsent_;
+    std::unique_ptr<base::timer_subscription> wakeup_;
+    base::time_point wakeup_at_ = base::time_point::max();
+    std::unique_ptr<base::timer_subscription> drain_step_;
+    std::unique_ptr<base::timer_subscription> drain_bound_;
+    std::function<void(std::size_t)> drained_;
+    std::uint64_t look_up_salt_ = 0;
+};
+
+} // namespace fuchsiaproxy::runtime
+
+#endif
--- a/src/include/fuchsiaproxy/settings/daemon_settings.hpp
+++ b/src/include/fuchsiaproxy/settings/daemon_settings.hpp
@@ -49,6 +49,7 @@
     std::size_t caller_connections = 0;
     std::size_t caller_connections_per_address = 0;
     std::size_t body_bytes = 0;
+    std::size_t buffers = 0;
     std::size_t queued_requests = 0;
     std::size_t ring_items = 0;
     std::size_t request_records = 0;
--- /dev/null
+++ b/src/runtime/platform_loop.cpp
@@ -0,0 +1,121 @@
+#include "fuchsiaproxy/runtime/platform_loop.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include "fuchsiaproxy/model/json.hpp"
+
+namespace fuchsiaproxy::runtime
+{
+namespace
+{
+
+// Only hubs, and entries that know no configuration yet, read the list at this period.
+constexpr base::duration list_period = std::chrono::seconds(1);
+
+platform::http_timeouts timeouts_of(settings::platform_settings const& it)
+{
+    platform::http_timeouts made;
+    made.call = it.call_timeout;
+    return made;
+}
+
+platform::http_endpoint endpoint_of(model::endpoint const& it)
+{
+    return {it.address, it.port};
+}
+
+} // namespace
+
+platform_loop::platform_loop(boost::asio::io_context& io,
+                             settings::platform_settings const& settings,
+                             std::shared_ptr<platform::platform_counters> counters,
+                             std::function<bool(traffic_event)> to_traffic)
+    : timers_(io), store_(platform::make_http_store(io, endpoint_of(settings.store),
+                                                    timeouts_of(settings), counters)),
+      list_(platform::make_http_instance_list(io, endpoint_of(settings.instances),
+                                              timeouts_of(settings), counters)),
+      to_traffic_(std::move(to_traffic)),
+      reader_(*store_, timers_,
+              [this](platform::accepted_configuration it) { deliver(std::move(it)); })
+{
+}
+
+void platform_loop::run()
+{
+    reader_.read_once();
+    read_instances();
+    list_timer_ = timers_.every(list_period,
+                                [this](base::time_point)
+                                {
+                                    if (undelivered_)
+                                    {
+                                        deliver(*std::exchange(undelivered_, std::nullopt));
+                                    }
+                                    if (is_hub_ || !knows_configuration_)
+                                    {
+                                        read_instances();
+                                    }
+                                });
+}
+
+void platform_loop::handle(platform_order order)
+{
+    std::visit([this](auto const& it) { handle_one(it); }, order);
+}
+
+void platform_loop::handle_one(hub_role const& it)
+{
+    is_hub_ = it.is_hub;
+    if (is_hub_)
+    {
+        reader_.start_watching();
+        return;
+    }
+    reader_.stop_watching();
+}
+
+void platform_loop::handle_one(parse_document const& it)
+{
+    auto parsed = model::parse_configuration(it.document);
+    if (!parsed)
+    {
+        return;
+    }
+    auto value = std::make_shared<model::configuration>(std::move(parsed).value());
+    value->version = it.version;
+    deliver({std::move(value), it.document});
+}
+
+void platform_loop::handle_one(configuration_known const&)
+{
+    knows_configuration_ = true;
+}
+
+void platform_loop::deliver(platform::accepted_configuration it)
+{
+    if (!to_traffic_(it))
+    {
+        undelivered_ = std::move(it);
+    }
+}
+
+void platform_loop::read_instances()
+{
+    if (reading_list_)
+    {
+        return;
+    }
+    reading_list_ = true;
+    list_->read(
+        [this](base::result<std::vector<platform::listed_instance>> answer)
+        {
+            reading_list_ = false;
+            if (answer)
+            {
+                to_traffic_(instances_read{std::move(answer).value()});
+            }
+        });
+}
+
+} // namespace fuchsiaproxy::runtime
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -88,6 +88,7 @@
     limits.caller_connections = it.at("caller_connections");
     limits.caller_connections_per_address = it.at("caller_connections_per_address");
     limits.body_bytes = it.at("body_bytes");
+    limits.buffers = it.at("buffers");
     limits.queued_requests = it.at("queued_requests");
     limits.ring_items = it.at("ring_items");
     limits.request_records = it.at("request_records");
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -69,6 +69,8 @@
           "minimum": 1, "maximum": 100000, "default": 1024},
         "body_bytes": {"description": "Size of a request body, in bytes.", "type": "integer",
                        "minimum": 0, "maximum": 1073741824, "default": 67108864},
+        "buffers": {"description": "Buffers of 16 KiB for heads and bodies in transit.",
+                    "type": "integer", "minimum": 16, "maximum": 1000000, "default": 8192},
         "queued_requests": {"description": "Requests that wait for a slot.", "type": "integer",
                             "minimum": 1, "maximum": 100000, "default": 1024},
         "ring_items": {"description": "Items in each ring between two threads.",
