Add the daemon and its program

Cause: the thin path needs a process that serves callers from a settings file.

Ruled out: a stop that closes the listener at once; callers hold look-ups that name the entry for the time to live, and other entries hand them out until the next heartbeat.

Links between entries and the operators' API are not connected yet.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -17,6 +17,7 @@
   $<BUILD_INTERFACE:-Wall -Wextra -Wpedantic -Wshadow -Wno-unused-parameter>)
 # Boost.Beast includes headers that Boost 1.74 marks as deprecated.
 target_compile_definitions(fuchsiaproxy_options INTERFACE
+  FUCHSIAPROXY_VERSION="${PROJECT_VERSION}"
   BOOST_ALLOW_DEPRECATED_HEADERS BOOST_ERROR_CODE_HEADER_ONLY BOOST_BIND_GLOBAL_PLACEHOLDERS)
 target_link_libraries(fuchsiaproxy_options INTERFACE Threads::Threads)
 
--- /dev/null
+++ b/src/include/fuchsiaproxy/runtime/daemon.hpp
@@ -0,0 +1,44 @@
+#ifndef FUCHSIAPROXY_RUNTIME_DAEMON_HPP
+#define FUCHSIAPROXY_RUNTIME_DAEMON_HPP
+
+#include <cstddef>
+#include <memory>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/settings/daemon_settings.hpp"
+
+namespace fuchsiaproxy::runtime
+{
+
+/// How a daemon ended.
+struct daemon_end
+{
+    /// Requests in flight that the drain bound cut off.
+    std::size_t requests_left = 0;
+};
+
+/// One entry instance: its threads, listeners and links.
+///
+/// Thread safety: none; used by one thread.
+class daemon
+{
+public:
+    /// Makes the parts; nothing listens yet.
+    explicit daemon(settings::daemon_settings settings);
+    ~daemon();
+
+    daemon(daemon const&) = delete;
+    daemon& operator=(daemon const&) = delete;
+
+    /// Listens, serves, and returns after a graceful stop that SIGTERM or SIGINT begins. Fails with
+    /// `invalid_settings` if an address cannot be bound. Precondition: called once.
+    base::result<daemon_end> run();
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace fuchsiaproxy::runtime
+
+#endif
--- /dev/null
+++ b/src/runtime/daemon.cpp
@@ -0,0 +1,182 @@
+#include "fuchsiaproxy/runtime/daemon.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <random>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/runtime/duty_thread.hpp"
+#include "fuchsiaproxy/runtime/events.hpp"
+#include "fuchsiaproxy/runtime/platform_loop.hpp"
+#include "fuchsiaproxy/runtime/traffic_loop.hpp"
+#include "fuchsiaproxy/telemetry/metrics.hpp"
+#include "fuchsiaproxy/telemetry/state_log.hpp"
+
+namespace fuchsiaproxy::runtime
+{
+namespace
+{
+
+// Low bits of an incarnation that are random; the start time in milliseconds stands above them.
+constexpr unsigned incarnation_random_bits = 16;
+
+std::uint64_t draw_seed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+// Makes an incarnation that is greater than that of every earlier process of the instance, as long
+// as the instance's wall clock does not go back over a restart.
+base::incarnation make_incarnation(std::uint64_t seed)
+{
+    auto const since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+    auto const random = seed & ((1U << incarnation_random_bits) - 1U);
+    return base::incarnation((static_cast<std::uint64_t>(ms) << incarnation_random_bits) | random);
+}
+
+std::string address_of(model::endpoint const& it)
+{
+    return it.address + ":" + std::to_string(it.port);
+}
+
+messages::entry_info describe(settings::daemon_settings const& it, std::uint64_t seed)
+{
+    messages::entry_info self;
+    self.id = it.instance.id;
+    self.incarnation = make_incarnation(seed);
+    self.region = it.instance.region;
+    self.zone = it.instance.zone;
+    self.caller_address =
+        it.advertise.callers.empty() ? address_of(it.listen.callers) : it.advertise.callers;
+    self.peer_address =
+        it.advertise.peers.empty() ? address_of(it.listen.peers) : it.advertise.peers;
+    return self;
+}
+
+// Permits every move until the caps of the configuration are known to the limits.
+class permit_all final : public routing::move_permit
+{
+public:
+    bool try_move(base::place_id const&, base::place_id const&, base::byte_count,
+                  base::time_point) override
+    {
+        return true;
+    }
+};
+
+} // namespace
+
+class daemon::impl
+{
+public:
+    explicit impl(settings::daemon_settings settings)
+        : settings_(std::move(settings)), seed_(settings_.seed == 0 ? draw_seed() : settings_.seed),
+          self_(describe(settings_, seed_)), log_(settings_.log_level),
+          traffic_thread_(settings_.limits.ring_items,
+                          [this](traffic_event it) { traffic_.handle(std::move(it)); }),
+          platform_thread_(settings_.limits.ring_items,
+                           [this](platform_order it) { platform_.handle(std::move(it)); }),
+          traffic_(traffic_thread_.io(), settings_, self_, seed_, permit_, outputs()),
+          platform_(platform_thread_.io(), settings_.platform, platform_counters_,
+                    [this](traffic_event it) { return traffic_thread_.push(std::move(it)); })
+    {
+    }
+
+    base::result<daemon_end> run()
+    {
+        auto const port = traffic_.listen();
+        if (!port)
+        {
+            return port.error();
+        }
+        log_.write(telemetry::log_level::info, "started",
+                   {{"instance", self_.id.value()},
+                    {"incarnation", std::to_string(self_.incarnation.value())},
+                    {"callers_port", std::to_string(port.value())}});
+        start_threads();
+        wait_for_stop_signal();
+        auto const left = drain();
+        stop_threads();
+        log_.write(left == 0 ? telemetry::log_level::info : telemetry::log_level::warn, "stopped",
+                   {{"requests_left", std::to_string(left)}});
+        return daemon_end{left};
+    }
+
+private:
+    traffic_outputs outputs()
+    {
+        traffic_outputs made;
+        made.to_peers = [](peer_order const&) { return true; };
+        made.to_platform = [this](platform_order it)
+        { return platform_thread_.push(std::move(it)); };
+        made.state_changed = [this](std::string event, std::string detail) {
+            log_.write(telemetry::log_level::info, std::move(event), {{"to", std::move(detail)}});
+        };
+        return made;
+    }
+
+    void start_threads()
+    {
+        traffic_thread_.start();
+        platform_thread_.start();
+        boost::asio::post(traffic_thread_.io(), [this] { traffic_.run(); });
+        boost::asio::post(platform_thread_.io(), [this] { platform_.run(); });
+    }
+
+    void stop_threads()
+    {
+        traffic_thread_.stop();
+        platform_thread_.stop();
+    }
+
+    static void wait_for_stop_signal()
+    {
+        boost::asio::io_context io;
+        boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([](boost::system::error_code, int) {});
+        io.run();
+    }
+
+    std::size_t drain()
+    {
+        std::promise<std::size_t> ended;
+        boost::asio::post(traffic_thread_.io(),
+                          [&] { traffic_.drain([&](std::size_t n) { ended.set_value(n); }); });
+        return ended.get_future().get();
+    }
+
+    settings::daemon_settings settings_;
+    std::uint64_t seed_;
+    messages::entry_info self_;
+    telemetry::state_log log_;
+    telemetry::metrics metrics_;
+    permit_all permit_;
+    std::shared_ptr<platform::platform_counters> platform_counters_ =
+        std::make_shared<platform::platform_counters>();
+    duty_thread<traffic_event> traffic_thread_;
+    duty_thread<platform_order> platform_thread_;
+    traffic_loop traffic_;
+    platform_loop platform_;
+};
+
+daemon::daemon(settings::daemon_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings)))
+{
+}
+
+daemon::~daemon() = default;
+
+base::result<daemon_end> daemon::run()
+{
+    return impl_->run();
+}
+
+} // namespace fuchsiaproxy::runtime
