--- /dev/null
+++ b/src/include/fuchsiaproxy/operators/configuration_service.hpp
@@ -0,0 +1,75 @@
+#ifndef FUCHSIAPROXY_OPERATORS_CONFIGURATION_SERVICE_HPP
+#define FUCHSIAPROXY_OPERATORS_CONFIGURATION_SERVICE_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/model/apply_change.hpp"
+#include "fuchsiaproxy/platform/store.hpp"
+
+namespace fuchsiaproxy::operators
+{
+
+/// Key of the manifest.
+constexpr auto head_key = "config/head";
+
+/// Returns the key of the segment with this content hash. Thread safe.
+std::string segment_key(std::string const& hash);
+
+/// The accepted configuration and where it was read. Version 0 and revision 0 while there is none.
+struct current_configuration
+{
+    model::manifest head;
+    platform::key_revision revision;
+    std::shared_ptr<model::configuration const> value;
+};
+
+/// An accepted command. `replayed` says that an earlier attempt had been accepted already.
+struct change_receipt
+{
+    model::command_record record;
+    bool replayed = false;
+};
+
+/// Reads the configuration from the platform store and changes it by compare-and-swap.
+///
+/// A command is applied at most once, whatever answers of the store get lost: it is recorded in the
+/// head, and a repeated command with the same id gets the receipt of the first. Errors:
+/// - `conflict`: another command won; the message names its version, operator and time;
+/// - `store_unavailable`: nothing was changed;
+/// - `store_answer_unknown`: the command may have been accepted; repeat it with the same id;
+/// - those of `model::apply_change`: nothing was changed.
+///
+/// Thread safety: all calls on the store's thread, where the handlers are called exactly once. The
+/// service and the store must outlive pending calls.
+class configuration_service
+{
+public:
+    using read_handler = std::function<void(base::result<current_configuration>)>;
+    using change_handler = std::function<void(base::result<change_receipt>)>;
+
+    explicit configuration_service(platform::store& store) : store_(store) {}
+
+    /// Reads the accepted configuration.
+    void read(read_handler done);
+
+    /// Applies `command` to the accepted configuration. `loads` is what `model::validate` takes.
+    void apply(model::change_command command, model::place_loads loads, change_handler done);
+
+    /// Makes `first` the first version, if the store has none. Changes in `command` are ignored.
+    void bootstrap(model::configuration first, model::change_command command, change_handler done);
+
+private:
+    friend class read_operation;
+    friend class write_operation;
+
+    platform::store& store_;
+    /// Segments of the head that was read last. Their keys are immutable.
+    model::segment_documents documents_;
+};
+
+} // namespace fuchsiaproxy::operators
+
+#endif
--- /dev/null
+++ b/src/operators/http_api_test.cpp
@@ -0,0 +1,153 @@
+#include <boost/asio/io_context.hpp>
+
+#include "fixture_test.hpp"
+
+#include <thread>
+
+#include "fuchsiaproxy/model/json.hpp"
+#include "fuchsiaproxy/operators/api_client.hpp"
+#include "fuchsiaproxy/operators/http_api.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::operators;
+
+namespace
+{
+
+struct running_api
+{
+    explicit running_api(bool filled)
+    {
+        if (filled)
+        {
+            test::fill(store);
+        }
+        http_api_options options;
+        options.max_body_bytes = 20'000;
+        api = std::make_unique<http_api>(context, options, service, daemon,
+                                         [] { return std::string("metric 1\n"); });
+        address = "127.0.0.1:" + std::to_string(api->start().value());
+        thread = std::thread([this] { context.run(); });
+    }
+    ~running_api()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    api_answer send(std::string const& method, std::string const& target,
+                    std::string const& key = "", std::string const& body = "")
+    {
+        auto const transport = make_http_transport(address, std::chrono::seconds(30)).value();
+        auto const authorization = key.empty() ? "" : basic_authorization("one-op", key);
+        return transport->send({method, target, authorization, body}).value();
+    }
+
+    test::fake_store store;
+    test::fake_daemon daemon{store};
+    configuration_service service{store};
+    boost::asio::io_context context;
+    std::unique_ptr<http_api> api;
+    std::string address;
+    std::thread thread;
+};
+
+} // namespace
+
+TEST_GROUP(http_api){};
+
+// Guards against requests that are answered without a key, with the wrong status, or that change
+// something although they are refused.
+TEST(http_api, each_refusal_has_its_status_and_changes_nothing)
+{
+    running_api it(true);
+    auto const* key = test::key_of_one;
+    auto const change =
+        [](std::string const& command, std::string const& version, std::string const& changes)
+    {
+        return R"({"command":")" + command + R"(","base_version":)" + version + R"(,"changes":)" +
+               changes + "}";
+    };
+    std::string const removal = R"([{"remove":{"place":"one-a"}}])";
+    struct row
+    {
+        char const* method;
+        char const* target;
+        char const* key;
+        std::string body;
+        unsigned status;
+        char const* text;
+    };
+    for (auto const& r : {
+             row{"GET", "/healthz", "", "", 200, "ok"},
+             row{"GET", "/readyz", "", "", 200, "ok"},
+             row{"GET", "/metrics", "", "", 200, "metric 1"},
+             row{"GET", "/v2", key, "", 404, "path /v2 does not exist"},
+             row{"POST", "/v1/history", key, "", 400, "expected method GET, found POST"},
+             row{"GET", "/v1/changes", key, "", 400, "expected method POST, found GET"},
+             row{"GET", "/v1/history", "", "", 401, "unauthenticated"},
+             row{"GET", "/v1/history", "wrong key of one", "", 401, "unauthenticated"},
+             row{"GET", "/v1/configuration?source=x", key, "", 400, "source: expected"},
+             row{"GET", "/v1/explain?service=s-one", key, "", 400, "service, method and path"},
+             row{"GET", "/v1/explain?service=x&method=GET&path=%2F", key, "", 404,
+                 "unknown_service"},
+             row{"POST", "/v1/changes", key, "{", 400, "/: expected a JSON object"},
+             row{"POST", "/v1/changes", key, R"({"command":"c"})", 400, "/base_version: expected"},
+             row{"POST", "/v1/changes", key, change("c", "1", "[{}]"), 422, "/changes/0: expected"},
+             row{"POST", "/v1/changes", key, change("c d", "1", removal), 400, "command: expected"},
+             row{"POST", "/v1/changes", key, change("c", "7", removal), 409, "conflict"},
+             row{"POST", "/v1/changes", key, change("c", "1", R"([{"remove":{"place":"two-a"}}])"),
+                 403, "belongs to"},
+             row{"POST", "/v1/changes", key, std::string(30'000, ' '), 413, "at most 20000 bytes"},
+         })
+    {
+        auto const answer = it.send(r.method, r.target, r.key, r.body);
+        CHECK_EQUAL_TEXT(r.status, answer.status, r.target);
+        STRCMP_CONTAINS(r.text, answer.body.c_str());
+    }
+    CHECK(it.store.values[head_key].revision == platform::key_revision(1));
+    auto const accepted = it.send("POST", "/v1/changes", key, change("c", "1", removal));
+    CHECK_EQUAL(200U, accepted.status);
+    STRCMP_CONTAINS(R"("replayed":false)", accepted.body.c_str());
+    STRCMP_CONTAINS(R"("version":2)", accepted.body.c_str());
+    STRCMP_CONTAINS(R"("replayed":true)",
+                    it.send("POST", "/v1/changes", key, change("c", "1", removal)).body.c_str());
+}
+
+// Guards against readiness before a configuration is known, and a first version by anybody.
+TEST(http_api, an_empty_store_takes_only_a_bootstrap_by_a_declared_operator)
+{
+    running_api it(false);
+    CHECK_EQUAL(503U, it.send("GET", "/readyz").status);
+    CHECK_EQUAL(503U, it.send("GET", "/v1/history", test::key_of_one).status);
+    auto const body =
+        R"({"command":"b","configuration":)" + model::to_json(test::two_members()) + "}";
+    CHECK_EQUAL(401U, it.send("POST", "/v1/bootstrap", "wrong key of one", body).status);
+    CHECK_EQUAL(200U, it.send("POST", "/v1/bootstrap", test::key_of_one, body).status);
+    CHECK_EQUAL(200U, it.send("GET", "/readyz").status);
+    auto const shown = it.send("GET", "/v1/configuration", test::key_of_one).body;
+    // The hashes of another organisation's keys stay hidden.
+    auto const c = test::two_members();
+    STRCMP_CONTAINS(c.members[0].operators[0].hash.c_str(), shown.c_str());
+    CHECK(shown.find(c.members[1].operators[0].hash) == std::string::npos);
+}
+
+// Guards against malformed addresses and unreachable entries that look like an answer.
+TEST(http_api, the_client_reports_what_it_cannot_reach)
+{
+    for (auto const* address : {"", "localhost:1", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:70000"})
+    {
+        CHECK(make_http_transport(address, std::chrono::seconds(1)).error().kind ==
+              base::error_kind::invalid_command);
+    }
+    std::string closed;
+    {
+        running_api it(false);
+        closed = it.address;
+    }
+    auto const transport = make_http_transport(closed, std::chrono::seconds(30)).value();
+    CHECK(transport->send({"GET", "/healthz", "", ""}).error().kind ==
+          base::error_kind::peer_unreachable);
+}
