Connect the operators' API to the daemon; keep service-level counts of all entries

Cause: operators ask any entry; counts must survive the stop of the entry that made them.

Ruled out: asking all entries for each report; at 1,800 entries each report would cost 1,800 answers. Counts are sent every 10 s, and every 60 s at 1,800 entries, to all entries of a small fleet and to the hubs of a large one.

--- a/src/engine/engine_fleet.cpp
+++ b/src/engine/engine_fleet.cpp
@@ -7,8 +7,22 @@
 #include "fuchsiaproxy/engine/engine.hpp"
 #include "fuchsiaproxy/requests/request_id.hpp"
 
+#include "classify.hpp"
+
 namespace fuchsiaproxy::engine
 {
+namespace
+{
+
+// Up to this many entries, every entry keeps the counts of all; beyond it only hubs do.
+constexpr std::size_t small_fleet = 60;
+
+// Period of the counts in a small fleet, and the messages per second that a keeper takes in a large
+// one: at 1,800 entries the period is 60 s.
+constexpr base::duration shortest_counts_period = std::chrono::seconds(10);
+constexpr base::duration counts_period_per_entry = std::chrono::milliseconds(33);
+
+} // namespace
 
 std::vector<offered_entry> engine::look_up(base::availability_zone_id const& zone,
                                            std::uint64_t salt, base::time_point now)
@@ -184,6 +198,25 @@
     out.emplace_back(upstream_left{at});
 }
 
+base::result<routing_explanation> engine::explain(base::service_id const& service,
+                                                  std::string_view method, std::string_view target,
+                                                  base::time_point now) const
+{
+    if (!adoption_.ready())
+    {
+        return base::make_error(base::error_kind::not_ready, "no configuration is known yet");
+    }
+    auto const found = services_.find(service);
+    if (found == services_.end())
+    {
+        return base::make_error(base::error_kind::unknown_service,
+                                "service \"" + service.value() + "\" is not declared");
+    }
+    auto const index = class_of(*found->second.declared, method, target);
+    return routing_explanation{found->second.declared->classes[index].name,
+                               dispatcher_.explain(service, index, base::byte_count(), now)};
+}
+
 void engine::drain()
 {
     draining_ = true;
@@ -221,8 +254,39 @@
     }
 }
 
+void engine::hand_over_counts(engine_actions& out) const
+{
+    auto const live = fleet_.live_entries();
+    std::vector<base::instance_id> receivers;
+    if (live.size() <= small_fleet)
+    {
+        for (auto const& it : live)
+        {
+            receivers.push_back(it.id);
+        }
+    }
+    else
+    {
+        receivers = fleet_.all_hubs();
+    }
+    messages::counters const own{fleet_.self().id, fleet_.self().incarnation, levels_.own()};
+    for (auto const& it : receivers)
+    {
+        if (it != fleet_.self().id)
+        {
+            out.emplace_back(send_message{it, own});
+        }
+    }
+}
+
 void engine::tick(base::time_point now, engine_actions& out)
 {
+    if (now >= next_counts_)
+    {
+        auto const entries = static_cast<std::int64_t>(fleet_.live_entries().size());
+        next_counts_ = now + std::max(shortest_counts_period, entries * counts_period_per_entry);
+        hand_over_counts(out);
+    }
     update_witness(now, out);
     auto const witness = witness_.value_or(requests::entry_incarnation{});
     fleet_.set_self(draining_, witness.instance, witness.number, claims_.generation(now),
--- a/src/engine/service_levels.cpp
+++ b/src/engine/service_levels.cpp
@@ -7,8 +7,9 @@
 namespace
 {
 
-// Stopped incarnations whose counts are kept; at target size a zone replaces about 6 entries a day.
-constexpr std::size_t max_kept = 256;
+// Incarnations whose counts are kept: 1,800 live entries and the 170 that are replaced on each of
+// the last ten days.
+constexpr std::size_t max_kept = 3500;
 
 } // namespace
 
@@ -27,12 +28,12 @@
     }
 }
 
-void service_levels::keep(messages::counters const& handed_over)
+void service_levels::keep(messages::counters const& reported)
 {
-    auto const id = std::make_pair(handed_over.owner, handed_over.owner_incarnation);
+    auto const id = std::make_pair(reported.owner, reported.owner_incarnation);
     if (kept_.count(id) != 0 || kept_.size() < max_kept)
     {
-        kept_[id] = handed_over;
+        kept_[id] = reported;
     }
 }
 
--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -512,6 +512,33 @@
     return hubs;
 }
 
+std::vector<base::instance_id> fleet_node::all_hubs() const
+{
+    std::set<base::availability_zone_id> zones{self_.zone};
+    for (auto const& it : table_.entries())
+    {
+        zones.insert(it.second.info.zone);
+    }
+    std::vector<base::instance_id> hubs;
+    for (auto const& zone : zones)
+    {
+        for (auto& hub : hubs_of(zone))
+        {
+            if (hub != self_.id)
+            {
+                hubs.push_back(std::move(hub));
+            }
+        }
+    }
+    return hubs;
+}
+
+base::duration fleet_node::silent_for(base::instance_id const& id, base::time_point now) const
+{
+    auto const* const known = table_.find(id);
+    return known == nullptr ? base::duration::zero() : now - known->last_heard;
+}
+
 std::vector<messages::entry_info> fleet_node::live_entries() const
 {
     std::vector<messages::entry_info> live;
--- a/src/include/fuchsiaproxy/engine/engine.hpp
+++ b/src/include/fuchsiaproxy/engine/engine.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fuchsiaproxy/base/attempt_result.hpp"
+#include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/base/units.hpp"
@@ -61,6 +62,14 @@
     std::string ticket;
 };
 
+/// Where a request would go, for operators.
+struct routing_explanation
+{
+    std::string request_class;
+    /// Candidates by ascending cost.
+    std::vector<routing::candidate_info> candidates;
+};
+
 /// Life cycle of the requests at one entry: takes events with the time, returns actions.
 ///
 /// Thread safety: none; owned by one thread. Times must not decrease from call to call.
@@ -111,6 +120,15 @@
     /// Marks this entry as draining: look-ups stop naming it.
     void drain();
 
+    /// Sends the service-level counts to the entries that keep them. To be called at the end of a
+    /// planned stop, so that the counts survive it.
+    void hand_over_counts(engine_actions& out) const;
+
+    /// Returns where a request would go now. Fails with `not_ready` or `unknown_service`.
+    base::result<routing_explanation> explain(base::service_id const& service,
+                                              std::string_view method, std::string_view target,
+                                              base::time_point now) const;
+
     /// Performs what is due at `now`.
     void tick(base::time_point now, engine_actions& out);
 
@@ -219,6 +237,7 @@
     std::set<base::upstream_id> leaving_;
     std::map<base::instance_id, base::time_point> suspects_;
     std::optional<requests::entry_incarnation> witness_;
+    base::time_point next_counts_;
     bool draining_ = false;
 };
 
--- a/src/include/fuchsiaproxy/engine/service_levels.hpp
+++ b/src/include/fuchsiaproxy/engine/service_levels.hpp
@@ -12,8 +12,8 @@
 namespace fuchsiaproxy::engine
 {
 
-/// Counts of requests served on time, by service and request class; and those of entries that
-/// stopped and handed theirs over.
+/// Counts of requests served on time, by service and request class: this entry's own, and what
+/// other entries reported, which outlives them.
 ///
 /// Thread safety: none; owned by one thread.
 class service_levels
@@ -23,14 +23,14 @@
     void count(base::service_id const& service, std::string const& request_class,
                base::request_weight weight, bool on_time);
 
-    /// Keeps the counts that a stopping entry handed over. Counts of one incarnation replace older
-    /// ones, so that a repeated message changes nothing.
-    void keep(messages::counters const& handed_over);
+    /// Keeps the counts that another entry reported. Counts of one incarnation replace older ones,
+    /// so that a repeated message changes nothing.
+    void keep(messages::counters const& reported);
 
     /// Returns this entry's own counts.
     std::vector<messages::class_counts> own() const;
 
-    /// Returns the counts handed over by other entries.
+    /// Returns the counts that other entries reported.
     std::vector<messages::counters> kept() const;
 
 private:
--- a/src/include/fuchsiaproxy/fleet/fleet_node.hpp
+++ b/src/include/fuchsiaproxy/fleet/fleet_node.hpp
@@ -113,6 +113,13 @@
     /// Sends what is due, drops lost entries. Call at least four times per heartbeat period.
     void tick(base::time_point now, fleet_actions& out);
 
+    /// Returns the hubs of all availability zones that are known, without this entry.
+    std::vector<base::instance_id> all_hubs() const;
+
+    /// Returns how long ago the last sign of life of `id` was heard; zero for this entry and for
+    /// unknown ones.
+    base::duration silent_for(base::instance_id const& id, base::time_point now) const;
+
     /// Returns this entry followed by the live others.
     std::vector<messages::entry_info> live_entries() const;
 
--- a/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
@@ -26,6 +26,8 @@
 {
     std::function<bool(peer_order)> to_peers;
     std::function<bool(platform_order)> to_platform;
+    /// Called with each configuration that is put in force.
+    std::function<void(std::shared_ptr<model::configuration const>)> adopted;
     /// Called on changes of state, for the log.
     std::function<void(std::string event, std::string detail)> state_changed;
 };
@@ -118,6 +120,7 @@
     void schedule_tick();
     void tick();
     void stop_accepting();
+    void finish_drain(std::size_t left);
 
     settings::daemon_settings settings_;
     asio_timer_service timers_;
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -13,6 +13,7 @@
 #include "fuchsiaproxy/platform/http_clients.hpp"
 #include "fuchsiaproxy/runtime/duty_thread.hpp"
 #include "fuchsiaproxy/runtime/events.hpp"
+#include "fuchsiaproxy/runtime/operators_loop.hpp"
 #include "fuchsiaproxy/runtime/platform_loop.hpp"
 #include "fuchsiaproxy/runtime/traffic_loop.hpp"
 #include "fuchsiaproxy/telemetry/metrics.hpp"
@@ -84,9 +85,11 @@
                           [this](traffic_event it) { traffic_.handle(std::move(it)); }),
           platform_thread_(settings_.limits.ring_items,
                            [this](platform_order it) { platform_.handle(std::move(it)); }),
+          operators_thread_(settings_.limits.ring_items, [](operators_order const&) {}),
           traffic_(traffic_thread_.io(), settings_, self_, seed_, permit_, outputs()),
-          platform_(platform_thread_.io(), settings_.platform, platform_counters_,
-                    [this](traffic_event it) { return traffic_thread_.push(std::move(it)); })
+          platform_(platform_thread_.io(), settings_.platform, platform_counters_, to_traffic()),
+          operators_(operators_thread_.io(), settings_, platform_counters_, to_traffic(),
+                     [this] { return metrics_.text(); })
     {
     }
 
@@ -97,10 +100,16 @@
         {
             return port.error();
         }
+        auto const operators_port = operators_.listen();
+        if (!operators_port)
+        {
+            return operators_port.error();
+        }
         log_.write(telemetry::log_level::info, "started",
                    {{"instance", self_.id.value()},
                     {"incarnation", std::to_string(self_.incarnation.value())},
-                    {"callers_port", std::to_string(port.value())}});
+                    {"callers_port", std::to_string(port.value())},
+                    {"operators_port", std::to_string(operators_port.value())}});
         start_threads();
         wait_for_stop_signal();
         auto const left = drain();
@@ -111,12 +120,24 @@
     }
 
 private:
+    // Nothing is queued for the operators thread: its API is driven by its sockets.
+    struct operators_order
+    {
+    };
+
+    std::function<bool(traffic_event)> to_traffic()
+    {
+        return [this](traffic_event it) { return traffic_thread_.push(std::move(it)); };
+    }
+
     traffic_outputs outputs()
     {
         traffic_outputs made;
         made.to_peers = [](peer_order const&) { return true; };
         made.to_platform = [this](platform_order it)
         { return platform_thread_.push(std::move(it)); };
+        made.adopted = [this](std::shared_ptr<model::configuration const> it)
+        { operators_.set_adopted(std::move(it)); };
         made.state_changed = [this](std::string event, std::string detail) {
             log_.write(telemetry::log_level::info, std::move(event), {{"to", std::move(detail)}});
         };
@@ -127,6 +148,7 @@
     {
         traffic_thread_.start();
         platform_thread_.start();
+        operators_thread_.start();
         boost::asio::post(traffic_thread_.io(), [this] { traffic_.run(); });
         boost::asio::post(platform_thread_.io(), [this] { platform_.run(); });
     }
@@ -135,6 +157,7 @@
     {
         traffic_thread_.stop();
         platform_thread_.stop();
+        operators_thread_.stop();
     }
 
     static void wait_for_stop_signal()
@@ -147,6 +170,7 @@
 
     std::size_t drain()
     {
+        operators_.set_draining();
         std::promise<std::size_t> ended;
         boost::asio::post(traffic_thread_.io(),
                           [&] { traffic_.drain([&](std::size_t n) { ended.set_value(n); }); });
@@ -163,8 +187,10 @@
         std::make_shared<platform::platform_counters>();
     duty_thread<traffic_event> traffic_thread_;
     duty_thread<platform_order> platform_thread_;
+    duty_thread<operators_order> operators_thread_;
     traffic_loop traffic_;
     platform_loop platform_;
+    operators_loop operators_;
 };
 
 daemon::daemon(settings::daemon_settings settings)
--- a/src/runtime/traffic_loop.cpp
+++ b/src/runtime/traffic_loop.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// Time for the last messages, such as the service-level counts, to leave before the process ends.
+constexpr base::duration hand_over_time = std::chrono::milliseconds(300);
+
 engine::engine_settings engine_settings_of(settings::daemon_settings const& it)
 {
     engine::engine_settings made;
@@ -94,6 +97,7 @@
     if (engine_.on_configuration(it.value, std::move(it.document), timers_.now(), out))
     {
         outputs_.state_changed("configuration_adopted", std::to_string(version.value()));
+        outputs_.adopted(engine_.configuration());
         outputs_.to_platform(configuration_known{});
     }
 }
@@ -330,23 +334,22 @@
 {
     outputs_.state_changed("draining", "listener closed");
     drain_bound_ = timers_.at(timers_.now() + settings_.timing.drain_bound,
-                              [this](base::time_point)
-                              {
-                                  auto const done = std::exchange(drained_, nullptr);
-                                  if (done)
-                                  {
-                                      done(server_.exchanges());
-                                  }
-                              });
-    server_.drain(
-        [this]
-        {
-            auto const done = std::exchange(drained_, nullptr);
-            if (done)
-            {
-                done(0);
-            }
-        });
+                              [this](base::time_point) { finish_drain(server_.exchanges()); });
+    server_.drain([this] { finish_drain(0); });
+}
+
+void traffic_loop::finish_drain(std::size_t left)
+{
+    auto const done = std::exchange(drained_, nullptr);
+    if (!done)
+    {
+        return;
+    }
+    engine::engine_actions out;
+    engine_.hand_over_counts(out);
+    perform(out);
+    drain_step_ =
+        timers_.at(timers_.now() + hand_over_time, [done, left](base::time_point) { done(left); });
 }
 
 } // namespace fuchsiaproxy::runtime
