Test callers, upstreams and message reading on loopback

Fault cases stand in tables: smuggling, floods, slow and leaving callers, cut and ambiguous answers, silent upstreams, stale pooled connections, drain.

The tests found that an empty answer kept its buffer until the attempt was destroyed; it is now released when the attempt ends.

--- /dev/null
+++ b/src/callers/server_fixture.hpp
@@ -0,0 +1,125 @@
+#ifndef FUCHSIAPROXY_CALLERS_SERVER_FIXTURE_HPP
+#define FUCHSIAPROXY_CALLERS_SERVER_FIXTURE_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../testing/loopback.hpp"
+#include "../testing/manual_timer_service.hpp"
+#include "fuchsiaproxy/callers/server.hpp"
+
+namespace fuchsiaproxy::callers
+{
+
+/// Records what a server reports, and reads bodies if `reads` is set.
+class recording_handler : public request_handler
+{
+public:
+    void request_arrived(std::shared_ptr<exchange> it) override
+    {
+        exchanges.push_back(it);
+        if (reads)
+        {
+            read(*it);
+        }
+        if (on_request)
+        {
+            on_request(*it);
+        }
+    }
+    void body_ready(base::local_request_id) override
+    {
+        read(*exchanges.back());
+    }
+    void write_ready(base::local_request_id) override
+    {
+        ++writes_ready;
+    }
+    void caller_gone(base::local_request_id request) override
+    {
+        gone.push_back(request);
+    }
+
+    void read(exchange& it)
+    {
+        char bytes[1000];
+        do
+        {
+            last = it.read_body(bytes, sizeof bytes);
+            body.append(bytes, last.size);
+        } while (last.state == body_state::open);
+        if (last.state == body_state::failed)
+        {
+            it.answer(base::answer_for(last.error).http_status, {}, "failed");
+        }
+    }
+
+    bool reads = true;
+    std::function<void(exchange&)> on_request;
+    std::vector<std::shared_ptr<exchange>> exchanges;
+    std::string body;
+    body_read last;
+    int writes_ready = 0;
+    std::vector<base::local_request_id> gone;
+};
+
+/// A server on loopback with a fake clock.
+struct served
+{
+    explicit served(server_settings limits = {})
+        : it(io, timers, buffers, handler, at_loopback(std::move(limits)))
+    {
+        port = it.listen().value();
+    }
+
+    static server_settings at_loopback(server_settings limits)
+    {
+        limits.at = model::endpoint{"127.0.0.1", 0};
+        return limits;
+    }
+
+    template <class Condition>
+    bool until(Condition condition)
+    {
+        return testing::run_until(io, condition);
+    }
+
+    /// Sends `text` on a new connection and returns all that comes back until its end.
+    std::string dialogue(std::string const& text)
+    {
+        testing::raw_peer caller(io, port);
+        caller.send(text);
+        return until([&]() { return caller.ended(); }) ? caller.text() : "no end";
+    }
+
+    /// Waits for the request number `count` and returns its exchange.
+    exchange& request(std::size_t count)
+    {
+        until([&]() { return handler.exchanges.size() >= count; });
+        return *handler.exchanges.at(count - 1);
+    }
+
+    boost::asio::io_context io;
+    testing::manual_timer_service timers;
+    http::buffer_pool buffers{1000};
+    recording_handler handler;
+    server it;
+    std::uint16_t port = 0;
+};
+
+inline std::string request_text(std::string const& fields, std::string const& line = "GET /s/a")
+{
+    return line + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+}
+
+inline bool starts_with(std::string const& text, std::string const& start)
+{
+    return text.compare(0, start.size(), start) == 0;
+}
+
+} // namespace fuchsiaproxy::callers
+
+#endif
--- /dev/null
+++ b/src/http/message_reader_test.cpp
@@ -0,0 +1,195 @@
+#include "fuchsiaproxy/http/message_reader.hpp"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy::http;
+
+namespace
+{
+
+struct head_case
+{
+    char const* name;
+    std::string text;
+    bool malformed;
+};
+
+std::string request(std::string const& fields)
+{
+    return "POST /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+}
+
+bool is_refused(message_reader& reader, std::string const& text)
+{
+    auto const scan = scan_head(text, 0);
+    message_head head;
+    return scan.malformed || scan.size != text.size() ||
+           reader.read_head(text, false, head) != head_error::none;
+}
+
+/// Takes a whole body out of `text`, given in pieces of `step` bytes.
+std::string body_of(message_reader& reader, std::string const& text, std::size_t step, bool& bad)
+{
+    std::string out;
+    std::string waiting;
+    bad = false;
+    for (std::size_t n = 0; n < text.size() && !reader.done() && !bad; n += step)
+    {
+        waiting += text.substr(n, step);
+        while (!reader.done() && !waiting.empty())
+        {
+            auto const it = reader.next(waiting);
+            out += it.data;
+            bad = it.malformed;
+            waiting.erase(0, it.used);
+            if (it.used == 0 || bad)
+            {
+                break;
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(request_heads)
+{
+    std::unique_ptr<message_reader> reader = message_reader::for_requests();
+};
+
+// Guards against request smuggling: a head that two servers could frame in two ways, and against
+// characters that end a line for one of them only.
+TEST(request_heads, ambiguous_framing_and_control_characters_are_refused)
+{
+    std::vector<head_case> const cases{
+        {"plain", request("Content-Length: 5\r\n"), false},
+        {"chunked", request("Transfer-Encoding: chunked\r\n"), false},
+        {"chunked in capitals", request("Transfer-Encoding: CHUNKED\r\n"), false},
+        {"spaces around a value", request("Content-Length: \t 5 \r\n"), false},
+        {"length and encoding", request("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+         true},
+        {"encoding and length", request("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"),
+         true},
+        {"two equal lengths", request("Content-Length: 5\r\nContent-Length: 5\r\n"), true},
+        {"two lengths", request("Content-Length: 5\r\nContent-Length: 6\r\n"), true},
+        {"list of lengths", request("Content-Length: 5, 5\r\n"), true},
+        {"signed length", request("Content-Length: +5\r\n"), true},
+        {"negative length", request("Content-Length: -5\r\n"), true},
+        {"hexadecimal length", request("Content-Length: 0x5\r\n"), true},
+        {"empty length", request("Content-Length:\r\n"), true},
+        {"length too large", request("Content-Length: 99999999999999999999\r\n"), true},
+        {"two encodings", request("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"),
+         true},
+        {"unknown encoding", request("Transfer-Encoding: xchunked\r\n"), true},
+        {"encoding list", request("Transfer-Encoding: gzip, chunked\r\n"), true},
+        {"encoding identity", request("Transfer-Encoding: identity\r\n"), true},
+        {"encoding with vertical tab",
+         request("Transfer-Encoding: \x0b"
+                 "chunked\r\n"),
+         true},
+        {"space before colon", request("Content-Length : 5\r\n"), true},
+        {"folded line", request("X: a\r\n b\r\n"), true},
+        {"folded encoding", request("Transfer-Encoding:\r\n chunked\r\n"), true},
+        {"line without colon", request("nonsense\r\n"), true},
+        {"empty name", request(": a\r\n"), true},
+        {"bare LF", request("X: a\nY: b\r\n"), true},
+        {"bare CR", request("X: a\rY: b\r\n"), true},
+        {"null", request(std::string("X: a\0b\r\n", 8)), true},
+        {"delete", request("X: a\x7f\r\n"), true},
+        {"tab in a value", request("X: a\tb\r\n"), false},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", true},
+        {"two hosts", request("Host: i\r\n"), true},
+        {"old version", "GET / HTTP/1.0\r\nHost: h\r\n\r\n", true},
+        {"unknown version", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", true},
+        {"no version", "GET /\r\nHost: h\r\n\r\n", true},
+        {"two spaces", "GET  / HTTP/1.1\r\nHost: h\r\n\r\n", true},
+        {"empty line first", "\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", true},
+    };
+    for (auto const& it : cases)
+    {
+        CHECK_EQUAL_TEXT(it.malformed, is_refused(*reader, it.text), it.name);
+    }
+}
+
+// Guards against a control character that is found only once the head is complete, which would
+// let a caller wait for the time limit instead of an answer.
+TEST(request_heads, bare_line_ends_are_found_before_the_end_of_the_head)
+{
+    CHECK(scan_head("GET / HTTP/1.1\n", 0).malformed);
+    CHECK_FALSE(scan_head("GET / HTTP/1.1\r", 0).malformed);
+    CHECK(scan_head("GET / HTTP/1.1\rX", 15).malformed);
+}
+
+// Guards against an end that is missed because it arrives in two pieces.
+TEST(request_heads, the_end_is_found_wherever_the_input_is_cut)
+{
+    auto const text = request("X: a\r\n");
+    for (std::size_t cut = 1; cut < text.size(); ++cut)
+    {
+        LONGS_EQUAL(0, scan_head(text.substr(0, cut), 0).size);
+        LONGS_EQUAL(text.size(), scan_head(text, cut).size);
+    }
+}
+
+// Guards against a field limit that is off by one.
+TEST(request_heads, more_than_the_allowed_fields_are_refused)
+{
+    for (auto const count : {max_fields, max_fields + 1})
+    {
+        std::string fields;
+        for (std::size_t n = 1; n < count; ++n)
+        {
+            fields += "X: a\r\n";
+        }
+        message_head head;
+        auto const expected = count > max_fields ? head_error::too_many_fields : head_error::none;
+        CHECK(reader->read_head(request(fields), false, head) == expected);
+    }
+}
+
+TEST_GROUP(chunked_bodies)
+{
+    std::unique_ptr<message_reader> reader = message_reader::for_requests();
+    message_head head;
+
+    std::string read(std::string const& text, std::size_t step, bool& bad)
+    {
+        CHECK(reader->read_head(request("Transfer-Encoding: chunked\r\n"), false, head) ==
+              head_error::none);
+        return body_of(*reader, text, step, bad);
+    }
+};
+
+// Guards against a body that changes with the cut of the input, and against trailers that become
+// fields after the fields were acted upon.
+TEST(chunked_bodies, are_the_same_wherever_the_input_is_cut)
+{
+    std::string const text = "5;x=y\r\nhello\r\n06\r\n world\r\n0\r\nTrailer: t\r\n\r\n";
+    for (std::size_t step = 1; step <= text.size(); ++step)
+    {
+        bool bad = false;
+        CHECK_EQUAL(std::string("hello world"), read(text, step, bad));
+        CHECK_FALSE(bad);
+        CHECK(reader->done());
+        CHECK_FALSE(head.fields.find("Trailer").has_value());
+    }
+}
+
+// Guards against chunk framing that another server could read differently.
+TEST(chunked_bodies, malformed_framing_is_refused)
+{
+    for (std::string const text :
+         {"g\r\n", "-1\r\na", " 5\r\nhello\r\n", "5 \r\nhello\r\n", "5\nhello\n0\n\n",
+          "0x5\r\nhello", "5\r\nhelloX\r\n", "5\r\nhello0\r\n\r\n", "11111111111111111\r\n", "\r\n",
+          "0\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\nbad trailer\r\n\r\n"})
+    {
+        // The empty line makes sure that the reader does not merely wait for more.
+        bool bad = false;
+        read(text + "\r\n\r\n", text.size() + 4, bad);
+        CHECK_TEXT(bad, text.c_str());
+    }
+}
--- a/src/testing/loopback.hpp
+++ b/src/testing/loopback.hpp
@@ -149,14 +149,15 @@
 {
 public:
     explicit raw_listener(boost::asio::io_context& io)
-        : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0})
+        : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}),
+          port_(acceptor_.local_endpoint().port())
     {
         accept();
     }
 
     std::uint16_t port() const
     {
-        return acceptor_.local_endpoint().port();
+        return port_;
     }
     model::endpoint at() const
     {
@@ -186,6 +187,7 @@
     }
 
     raw_peer::tcp::acceptor acceptor_;
+    std::uint16_t port_;
 };
 
 /// Runs `io` until `condition` holds. Returns false if it does not hold within the guard, which
--- /dev/null
+++ b/src/upstreams/client_test.cpp
@@ -0,0 +1,483 @@
+#include <map>
+
+#include "../testing/loopback.hpp"
+#include "../testing/manual_timer_service.hpp"
+#include "fuchsiaproxy/upstreams/client.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::upstreams;
+using namespace std::chrono_literals;
+using base::attempt_result;
+using testing::raw_peer;
+
+namespace
+{
+
+std::string answer_text(std::string const& fields, std::string const& body = {},
+                        std::string const& status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n" + body;
+}
+
+std::string const hello = answer_text("Content-Length: 5\r\n", "hello");
+
+/// Body that the test hands out piece by piece.
+class scripted_body final : public body_source
+{
+public:
+    std::optional<std::uint64_t> body_length(base::attempt_id) override
+    {
+        return length;
+    }
+    body_piece body_at(base::attempt_id, std::uint64_t offset) override
+    {
+        auto const rest = std::string_view(text).substr(static_cast<std::size_t>(offset));
+        return body_piece{rest, ended};
+    }
+    std::string text;
+    bool ended = true;
+    std::optional<std::uint64_t> length;
+};
+
+/// Client with a fake clock, one raw upstream, and a record of what was reported.
+struct path_to_upstream : attempt_events
+{
+    explicit path_to_upstream(client_settings limits = {}) : it(io, timers, buffers, limits) {}
+
+    void attempt_head(base::attempt_id id, answer_head const& head) override
+    {
+        heads[id] = head;
+        if (takes)
+        {
+            take(id);
+        }
+    }
+    void attempt_readable(base::attempt_id id) override
+    {
+        take(id);
+    }
+    void attempt_finished(base::attempt_id id, attempt_report const& report) override
+    {
+        CHECK(reports.emplace(id, report).second);
+    }
+
+    void take(base::attempt_id id)
+    {
+        for (auto part = attempts[id]->part(); !part.data.empty(); part = attempts[id]->part())
+        {
+            texts[id] += part.data;
+            attempts[id]->consume(part.data.size());
+        }
+    }
+
+    base::attempt_id start(std::string const& method = "GET", body_source* body = nullptr)
+    {
+        attempt_request request;
+        request.id = base::attempt_id(++last);
+        request.at = upstream.at();
+        request.method = method;
+        request.target = "/a";
+        request.fields.add("Host", "h");
+        request.deadline = timers.now() + 2s;
+        request.idempotent = method == "GET" || method == "HEAD";
+        request.shed_statuses = {503};
+        request.body = body;
+        auto const id = request.id;
+        attempts[id] = it.start(std::move(request), *this);
+        return id;
+    }
+
+    /// Waits until the upstream's connection `n` has received a whole head, and returns it.
+    raw_peer& peer(std::size_t n)
+    {
+        CHECK(until([&]()
+                    { return upstream.peers.size() > n && upstream.peers[n]->has("\r\n\r\n"); }));
+        return *upstream.peers.at(n);
+    }
+
+    attempt_report const& report(base::attempt_id id)
+    {
+        CHECK(until([&]() { return reports.count(id) == 1; }));
+        return reports[id];
+    }
+
+    /// Runs one complete exchange on the connection `n`.
+    void complete_one(std::size_t n = 0)
+    {
+        auto const id = start();
+        auto& at = peer(n);
+        at.clear();
+        at.send(hello);
+        CHECK(report(id).result == attempt_result::completed);
+    }
+
+    template <class Condition>
+    bool until(Condition condition)
+    {
+        return testing::run_until(io, condition);
+    }
+
+    boost::asio::io_context io;
+    testing::manual_timer_service timers;
+    http::buffer_pool buffers{100};
+    testing::raw_listener upstream{io};
+    bool takes = true;
+    std::uint64_t last = 0;
+    std::map<base::attempt_id, answer_head> heads;
+    std::map<base::attempt_id, std::string> texts;
+    std::map<base::attempt_id, attempt_report> reports;
+    client it;
+    std::map<base::attempt_id, std::shared_ptr<attempt>> attempts;
+};
+
+struct answer_case
+{
+    char const* name;
+    std::string text;
+    /// The upstream closes after the text.
+    bool closes;
+    attempt_result result;
+    bool reused;
+};
+
+} // namespace
+
+TEST_GROUP(upstream_answers){};
+
+// Guards against answers that are taken for complete although they were cut or could be framed in
+// two ways, and against connections that are reused in an unknown state.
+TEST(upstream_answers, only_whole_unambiguous_answers_are_complete)
+{
+    auto const completed = attempt_result::completed;
+    auto const broken = attempt_result::broken;
+    std::vector<answer_case> const cases{
+        {"counted", hello, false, completed, true},
+        {"empty", answer_text("Content-Length: 0\r\n"), false, completed, true},
+        {"no content", answer_text("", "", "204 No Content"), false, completed, true},
+        {"chunked", answer_text("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n"), false,
+         completed, true},
+        {"after 100", answer_text("", "", "100 Continue") + hello, false, completed, true},
+        {"connection close", answer_text("Connection: close\r\nContent-Length: 5\r\n", "hello"),
+         false, completed, false},
+        {"bytes behind the answer", hello + "x", false, completed, false},
+        {"two answers", hello + hello, false, completed, false},
+        {"no answer", "", true, broken, false},
+        {"half a head", "HTTP/1.1 200 OK\r\nContent-Le", true, broken, false},
+        {"head only", answer_text("Content-Length: 5\r\n"), true, broken, false},
+        {"short body", answer_text("Content-Length: 5\r\n", "hell"), true, broken, false},
+        {"no final chunk", answer_text("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n"), true,
+         broken, false},
+        {"cut final chunk", answer_text("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n"),
+         true, broken, false},
+        {"bad chunk", answer_text("Transfer-Encoding: chunked\r\n", "5\r\nhelloworld\r\n"), false,
+         broken, false},
+        {"until close", answer_text("", "hello"), true, broken, false},
+        {"both framings",
+         answer_text("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"), false,
+         broken, false},
+        {"two lengths", answer_text("Content-Length: 5\r\nContent-Length: 4\r\n", "hello"), false,
+         broken, false},
+        {"switching protocols", answer_text("", "", "101 Switching Protocols"), false, broken,
+         false},
+        {"not HTTP", "hello\r\n\r\n", false, broken, false},
+        {"endless head", "HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'a'), false, broken, false},
+        {"shed", answer_text("Shed: 1\r\nContent-Length: 1\r\n", "x", "503 Busy"), false,
+         attempt_result::shed, true},
+        {"shed with a cut body", answer_text("Shed: 1\r\nContent-Length: 1\r\n", "", "503 Busy"),
+         true, attempt_result::shed, false},
+        {"declared status without the field", answer_text("Content-Length: 0\r\n", "", "503 Busy"),
+         false, completed, true},
+        {"field without a declared status",
+         answer_text("Shed: 1\r\nContent-Length: 0\r\n", "", "500 Error"), false, completed, true},
+    };
+    for (auto const& it : cases)
+    {
+        path_to_upstream path;
+        auto const id = path.start("POST");
+        auto& peer = path.peer(0);
+        peer.send(it.text);
+        if (it.closes)
+        {
+            CHECK(path.until([&]() { return peer.sent() == it.text.size(); }));
+            peer.close();
+        }
+        CHECK_TEXT(path.report(id).result == it.result, it.name);
+        testing::run_ready(path.io);
+        LONGS_EQUAL_TEXT(it.reused ? 1 : 0, path.it.idle_connections(), it.name);
+        LONGS_EQUAL_TEXT(it.reused ? 1 : 0, path.it.connections(), it.name);
+        LONGS_EQUAL_TEXT(0, path.buffers.in_use(), it.name);
+        if (it.result == completed && path.heads[id].content_length == 5U)
+        {
+            CHECK_EQUAL_TEXT(std::string("hello"), path.texts[id], it.name);
+        }
+    }
+}
+
+// Guards against the body of another answer being read after an answer to HEAD.
+TEST(upstream_answers, to_head_have_no_body)
+{
+    path_to_upstream path;
+    auto const id = path.start("HEAD");
+    path.peer(0).send(answer_text("Content-Length: 5\r\n"));
+    CHECK(path.report(id).result == attempt_result::completed);
+    CHECK(path.heads[id].content_length == 5U);
+    LONGS_EQUAL(1, path.it.idle_connections());
+}
+
+// Guards against an upstream that is leaving and gets more work.
+TEST(upstream_answers, tell_that_the_upstream_is_leaving)
+{
+    for (std::string const fields : {"Connection: close\r\n", "Shed: 1\r\nDraining: 1\r\n", ""})
+    {
+        path_to_upstream path;
+        auto const id = path.start();
+        path.peer(0).send(answer_text(fields + "Content-Length: 0\r\n", "", "503 Busy"));
+        CHECK_EQUAL(!fields.empty(), path.report(id).upstream_leaving);
+    }
+}
+
+TEST_GROUP(attempt_ends)
+{
+    path_to_upstream path;
+};
+
+// Guards against a wrong claim that nothing was sent, and against the loss of the claim when it is
+// true.
+TEST(attempt_ends, refused_connections_are_connect_failures)
+{
+    path.upstream.close();
+    auto const id = path.start("POST");
+    CHECK(path.report(id).result == attempt_result::connect_failed);
+    LONGS_EQUAL(0, path.report(id).bytes_sent);
+    LONGS_EQUAL(0, path.it.connections());
+}
+
+// Guards against a frozen process that sends a request after its deadline.
+TEST(attempt_ends, nothing_is_sent_after_the_deadline)
+{
+    for (bool const pooled : {false, true})
+    {
+        if (pooled)
+        {
+            path.complete_one(1);
+        }
+        auto const id = path.start("POST");
+        if (!pooled)
+        {
+            path.timers.freeze(3s);
+            CHECK(path.report(id).result == attempt_result::not_sent);
+            CHECK(path.until([&]() { return path.upstream.peers.size() == 1; }));
+            CHECK_EQUAL(std::string(), path.upstream.peers[0]->text());
+            LONGS_EQUAL(1, path.it.counters().late);
+        }
+    }
+    attempt_request late;
+    late.id = base::attempt_id(100);
+    late.at = path.upstream.at();
+    late.deadline = path.timers.now();
+    path.attempts[late.id] = path.it.start(late, path);
+    CHECK(path.report(late.id).result == attempt_result::not_sent);
+    LONGS_EQUAL(0, path.report(late.id).bytes_sent);
+}
+
+// Guards against a silent upstream that holds a request past its deadline, and against the reuse
+// of connections that may be silent too.
+TEST(attempt_ends, silent_upstreams_time_out_and_their_connections_are_closed)
+{
+    auto const first = path.start();
+    auto const second = path.start("POST");
+    path.peer(1);
+    path.peer(0).send(hello);
+    CHECK(path.report(first).result == attempt_result::completed);
+    LONGS_EQUAL(1, path.it.idle_connections());
+    path.timers.advance(1999ms);
+    testing::run_ready(path.io);
+    LONGS_EQUAL(0, path.reports.count(second));
+    path.timers.advance(1ms);
+    CHECK(path.report(second).result == attempt_result::timed_out);
+    CHECK(path.report(second).bytes_sent > 0);
+    LONGS_EQUAL(0, path.it.connections());
+    LONGS_EQUAL(1, path.it.counters().distrusted);
+}
+
+// Guards against an upstream that goes silent within its answer, after the deadline has no say.
+TEST(attempt_ends, silence_within_the_body_is_broken_after_the_idle_limit)
+{
+    auto const id = path.start();
+    path.peer(0).send(answer_text("Content-Length: 10\r\n", "hello"));
+    CHECK(path.until([&]() { return path.texts[id] == "hello"; }));
+    path.timers.advance(4s);
+    testing::run_ready(path.io);
+    LONGS_EQUAL(0, path.reports.count(id));
+    path.timers.advance(2s);
+    CHECK(path.report(id).result == attempt_result::broken);
+}
+
+// Guards against an answer that comes after a cancel or a time-out and reaches the next request.
+TEST(attempt_ends, late_answers_never_reach_the_next_request)
+{
+    for (bool const cancels : {true, false})
+    {
+        path_to_upstream one;
+        auto const lost = one.start();
+        auto& old = one.peer(0);
+        if (cancels)
+        {
+            one.attempts[lost]->cancel();
+        }
+        one.timers.advance(cancels ? 0s : 2s);
+        CHECK(one.report(lost).result ==
+              (cancels ? attempt_result::cancelled : attempt_result::timed_out));
+        auto const next = one.start();
+        old.send(answer_text("Content-Length: 4\r\n", "late"));
+        one.peer(1).send(hello);
+        CHECK(one.report(next).result == attempt_result::completed);
+        CHECK_EQUAL(std::string("hello"), one.texts[next]);
+        CHECK(one.texts[lost].empty());
+        CHECK(one.until([&]() { return old.ended(); }));
+    }
+}
+
+// Guards against a cancelled attempt that is reported as possibly run although nothing was sent.
+TEST(attempt_ends, cancelling_before_the_connection_stands_sends_nothing)
+{
+    auto const id = path.start("POST");
+    path.attempts[id]->cancel();
+    LONGS_EQUAL(0, path.reports.size()); // Reported later, never from within the call.
+    CHECK(path.report(id).result == attempt_result::not_sent);
+    CHECK(path.until(
+        [&]() { return path.upstream.peers.size() == 1 && path.upstream.peers[0]->ended(); }));
+    CHECK_EQUAL(std::string(), path.upstream.peers[0]->text());
+}
+
+TEST_GROUP(upstream_pools)
+{
+    path_to_upstream path;
+};
+
+// Guards against requests that are sent on a connection which the upstream has closed or on which
+// an unasked answer waits.
+TEST(upstream_pools, stale_connections_are_not_used)
+{
+    for (bool const closes : {true, false})
+    {
+        for (bool const seen : {true, false})
+        {
+            path_to_upstream one;
+            one.complete_one();
+            auto& old = *one.upstream.peers[0];
+            closes ? old.close() : old.send(answer_text("Content-Length: 5\r\n", "wrong"));
+            if (seen)
+            {
+                CHECK(one.until([&]() { return one.it.connections() == 0; }));
+            }
+            else if (!closes)
+            {
+                // Lets the bytes arrive without giving the client a turn.
+                CHECK(one.until([&]() { return old.sent() > 0; }));
+            }
+            auto const id = one.start("POST");
+            one.peer(1).send(hello);
+            CHECK(one.report(id).result == attempt_result::completed);
+            CHECK_EQUAL(std::string("hello"), one.texts[id]);
+            LONGS_EQUAL(1, one.it.counters().stale);
+        }
+    }
+}
+
+// Guards against "not sent" for a request that left on a connection which then closed.
+TEST(upstream_pools, a_connection_that_closes_after_the_request_left_is_broken)
+{
+    path.complete_one();
+    auto const id = path.start("POST");
+    path.peer(0).reset();
+    CHECK(path.report(id).result == attempt_result::broken);
+    CHECK(path.report(id).bytes_sent > 0);
+    LONGS_EQUAL(1, path.upstream.peers.size());
+}
+
+// Guards against a non-idempotent request on a connection that the upstream may be about to close.
+TEST(upstream_pools, non_idempotent_requests_use_recent_connections_only)
+{
+    path.complete_one();
+    path.timers.advance(900ms);
+    auto const recent = path.start("POST");
+    path.peer(0).send(hello);
+    path.report(recent);
+    path.upstream.peers[0]->clear();
+    path.timers.advance(1100ms);
+    auto const order = path.start("POST");
+    path.peer(1).send(hello);
+    path.report(order);
+    LONGS_EQUAL(2, path.it.idle_connections());
+    path.timers.advance(1100ms);
+    path.start("GET");
+    LONGS_EQUAL(2, path.it.counters().connects);
+    LONGS_EQUAL(2, path.it.counters().reused);
+}
+
+// Guards against pools that take more connections than the upstream grants, or keep them for ever.
+TEST(upstream_pools, are_bounded_and_forget_idle_connections)
+{
+    client_settings limits;
+    limits.max_connections = 2;
+    path_to_upstream small(limits);
+    auto const first = small.start();
+    auto const second = small.start();
+    auto const third = small.start();
+    CHECK(small.report(third).result == attempt_result::not_sent);
+    LONGS_EQUAL(1, small.it.counters().pool_full);
+    small.peer(0).send(hello);
+    small.peer(1).send(hello);
+    small.report(first);
+    small.report(second);
+    LONGS_EQUAL(2, small.it.idle_connections());
+    small.timers.advance(2s);
+    auto const fresh = small.start("POST"); // An idle connection gives way.
+    small.peer(2).send(hello);
+    small.report(fresh);
+    LONGS_EQUAL(2, small.it.connections());
+    small.timers.advance(31s);
+    LONGS_EQUAL(0, small.it.connections());
+}
+
+// Guards against bodies that are cut, doubled or framed wrongly on their way to the upstream.
+TEST(upstream_pools, bodies_are_streamed_in_either_framing)
+{
+    for (bool const counted : {true, false})
+    {
+        scripted_body body;
+        body.length = counted ? std::optional<std::uint64_t>(10) : std::nullopt;
+        body.text = "hello";
+        body.ended = false;
+        path_to_upstream one;
+        auto const id = one.start("POST", &body);
+        auto& peer = one.peer(0);
+        CHECK(one.until([&]() { return peer.has("hello"); }));
+        body.text += "world";
+        body.ended = true;
+        one.attempts[id]->body_ready();
+        auto const expected =
+            counted ? "\r\n\r\nhelloworld" : "\r\n\r\n5\r\nhello\r\n5\r\nworld\r\n0\r\n\r\n";
+        CHECK(one.until([&]() { return peer.has(expected); }));
+        CHECK_EQUAL(counted, peer.has("Content-Length: 10\r\n"));
+        peer.send(hello);
+        CHECK(one.report(id).result == attempt_result::completed);
+        LONGS_EQUAL(1, one.it.idle_connections());
+    }
+}
+
+// Guards against a connection that is reused although the upstream still waits for a body.
+TEST(upstream_pools, early_answers_are_passed_on_and_their_connection_closed)
+{
+    scripted_body body;
+    body.ended = false;
+    body.text = "part";
+    auto const id = path.start("POST", &body);
+    path.peer(0).send(answer_text("Content-Length: 5\r\n", "hello", "413 Too Large"));
+    CHECK(path.report(id).result == attempt_result::completed);
+    LONGS_EQUAL(413, path.report(id).status);
+    LONGS_EQUAL(0, path.it.connections());
+}
--- a/src/upstreams/running_attempt.cpp
+++ b/src/upstreams/running_attempt.cpp
@@ -367,6 +367,7 @@
 {
     while (step())
     {
+        next_part_ = {};
     }
     if (!finished_)
     {
@@ -504,6 +505,10 @@
     report_.bytes_sent = writer_.bytes_sent();
     timer_.reset();
     release_connection(false);
+    if (part_.empty() && next_part_.empty())
+    {
+        buffer_.release();
+    }
     if (distrust)
     {
         // A fault that silences one connection often silences all those opened before it.
