--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -7,6 +7,35 @@
 using base::attempt_result;
 using testing::raw_peer;
 
+namespace
+{
+
+std::string post(std::string const& body, std::string const& more = {})
+{
+    return "POST /orders/1 HTTP/1.1\r\nHost: h\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Waits until connection `n` of `at` has received `text`.
+raw_peer& peer_with(data_path& path, testing::raw_listener& at, std::size_t n,
+                    std::string const& text)
+{
+    CHECK(path.until([&]() { return at.peers.size() > n && at.peers[n]->has(text); }));
+    return *at.peers.at(n);
+}
+
+// The relay's bound for the bodies that it keeps, from the design.
+constexpr std::size_t kept_body_bytes_in_test = 65'536;
+
+std::string chunk(std::size_t size)
+{
+    std::string out;
+    http::append_chunk_header(out, size);
+    return out + std::string(size, 'a') + "\r\n";
+}
+
+} // namespace
+
 TEST_GROUP(relay_forwarding)
 {
     data_path path;
@@ -50,3 +79,345 @@
     LONGS_EQUAL(0, path.buffers.in_use());
     LONGS_EQUAL(0, path.mover.requests());
 }
+
+// Guards against an upstream that vouches for an outcome, which is the entry's to state.
+TEST(relay_forwarding, outcomes_are_stated_by_the_entry_only)
+{
+    forward_everything();
+    raw_peer caller(path.io, path.port);
+    caller.send(get("/catalog/a"));
+    peer_with(path, path.upstream, 0, "\r\n\r\n")
+        .send("HTTP/1.1 500 X\r\nRequest-Outcome: not-run\r\nContent-Length: 1\r\n\r\nx");
+    CHECK(path.until([&]() { return caller.has("\r\n\r\nx"); }));
+    CHECK(caller.has("HTTP/1.1 500 Internal Server Error\r\n"));
+    CHECK(caller.has("Request-Outcome: run\r\n"));
+    CHECK_FALSE(caller.has("not-run"));
+}
+
+// Guards against error answers without an outcome, and look-ups that are forwarded.
+TEST(relay_forwarding, answers_of_the_entry_state_their_outcome)
+{
+    path.events.on_request = [this](callers::request_head const& head)
+    {
+        http::fields added;
+        added.add("Request-Id", "id-1");
+        path.mover.answer_error(head.id, base::error_kind::queue_full, added);
+        path.mover.answer(head.id, 200, {}, "second answer");
+    };
+    raw_peer caller(path.io, path.port);
+    caller.send(get("/lookup?service=catalog") + post("body"));
+    CHECK(path.until([&]() { return path.events.arrived.size() == 2 && caller.has("id-1"); }));
+    CHECK(path.events.arrived[0].kind == callers::request_kind::look_up);
+    CHECK(path.until([&]() { return caller.text().rfind("queue_full") > 250; }));
+    CHECK(caller.has("HTTP/1.1 503 "));
+    CHECK(caller.has("Request-Outcome: not-run\r\n"));
+    CHECK_FALSE(caller.has("second answer"));
+    LONGS_EQUAL(0, path.mover.requests());
+    LONGS_EQUAL(0, path.buffers.in_use());
+}
+
+// Guards against a broken answer that the caller takes for a complete one.
+TEST(relay_forwarding, broken_answers_are_broken_for_the_caller)
+{
+    forward_everything();
+    for (std::string const head :
+         {"Content-Length: 10\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"})
+    {
+        raw_peer caller(path.io, path.port);
+        caller.send(get("/catalog/a"));
+        auto const n = path.upstream.peers.size();
+        auto& peer = peer_with(path, path.upstream, n, "\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\n" + head);
+        CHECK(path.until([&]() { return caller.has("hello"); }));
+        CHECK_FALSE(caller.ended());
+        peer.close();
+        CHECK(path.until([&]() { return caller.ended(); }));
+        CHECK_FALSE(caller.has("\r\n0\r\n\r\n"));
+        CHECK(path.events.finished.back().report.result == attempt_result::broken);
+        LONGS_EQUAL(0, path.mover.requests());
+        LONGS_EQUAL(0, path.buffers.in_use());
+    }
+}
+
+TEST_GROUP(relay_attempts)
+{
+    data_path path;
+    testing::raw_listener other{path.io};
+    base::local_request_id request{1};
+
+    /// Sends a request and waits until it may be attempted.
+    void arrive(raw_peer & caller, std::string const& text)
+    {
+        caller.send(text);
+        CHECK(path.until([&]() { return path.events.arrived.size() == 1; }));
+    }
+};
+
+// Guards against a retry that sends another body, or none.
+TEST(relay_attempts, a_request_that_did_not_run_is_sent_again_whole)
+{
+    raw_peer caller(path.io, path.port);
+    std::string const body(50'000, 'b');
+    arrive(caller, post(body));
+    path.attempt(request, path.upstream.at(), false);
+    peer_with(path, path.upstream, 0, body)
+        .send("HTTP/1.1 503 Busy\r\nShed: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::shed);
+    CHECK(path.events.heads.empty());
+    CHECK(path.mover.can_attempt(request));
+    path.attempt(request, other.at(), false);
+    auto& second = peer_with(path, other, 0, body);
+    CHECK(second.has("Content-Length: 50000\r\n"));
+    second.send(answer_200("done"));
+    CHECK(path.until([&]() { return caller.has("done"); }));
+    CHECK_FALSE(caller.has("503"));
+}
+
+// Guards against two answers to one request, and a loser that runs on.
+TEST(relay_attempts, the_first_answer_wins_and_the_other_attempt_is_cancelled)
+{
+    raw_peer caller(path.io, path.port);
+    arrive(caller, get("/catalog/a"));
+    path.attempt(request, path.upstream.at());
+    auto const hedge = path.attempt(request, other.at());
+    auto& slow = peer_with(path, path.upstream, 0, "\r\n\r\n");
+    peer_with(path, other, 0, "\r\n\r\n").send(answer_200("fast"));
+    CHECK(path.until([&]() { return caller.has("fast") && slow.ended(); }));
+    slow.send(answer_200("slow"));
+    CHECK(path.until([&]() { return path.events.finished.size() == 2; }));
+    for (auto const& it : path.events.finished)
+    {
+        CHECK(it.report.result ==
+              (it.id == hedge ? attempt_result::completed : attempt_result::cancelled));
+    }
+    testing::run_ready(path.io);
+    CHECK_FALSE(caller.has("slow"));
+    LONGS_EQUAL(0, path.mover.requests());
+}
+
+// Guards against an answer that reaches the caller after the entry has answered itself.
+TEST(relay_attempts, answers_after_the_entrys_own_answer_are_dropped)
+{
+    raw_peer caller(path.io, path.port);
+    arrive(caller, get("/catalog/a"));
+    path.attempt(request, path.upstream.at());
+    auto& peer = peer_with(path, path.upstream, 0, "\r\n\r\n");
+    path.mover.answer_error(request, base::error_kind::upstream_timeout);
+    peer.send(answer_200("late"));
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::completed);
+    caller.send(get("/catalog/b"));
+    CHECK(path.until([&]() { return path.events.arrived.size() == 2; }));
+    CHECK_FALSE(caller.has("late"));
+    LONGS_EQUAL(1, path.client.idle_connections());
+}
+
+// Guards against an answer that decisions have refused, such as one to be tried again.
+TEST(relay_attempts, answers_that_are_not_accepted_are_not_passed_on)
+{
+    path.events.accept = false;
+    raw_peer caller(path.io, path.port);
+    arrive(caller, get("/catalog/a"));
+    path.attempt(request, path.upstream.at());
+    peer_with(path, path.upstream, 0, "\r\n\r\n").send(answer_200("refused"));
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    path.events.accept = true;
+    path.attempt(request, other.at());
+    peer_with(path, other, 0, "\r\n\r\n").send(answer_200("good"));
+    CHECK(path.until([&]() { return caller.has("good"); }));
+    CHECK_FALSE(caller.has("refused"));
+}
+
+// Guards against work that goes on for nobody, and against the loss of an outcome that a witness
+// has to learn.
+TEST(relay_attempts, callers_that_leave_end_answers_but_not_unanswered_attempts)
+{
+    for (bool const answered : {true, false})
+    {
+        data_path one;
+        raw_peer caller(one.io, one.port);
+        caller.send(post("body"));
+        CHECK(one.until([&]() { return one.events.arrived.size() == 1; }));
+        one.attempt(request, one.upstream.at(), false);
+        auto& peer = peer_with(one, one.upstream, 0, "body");
+        if (answered)
+        {
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello");
+            CHECK(one.until([&]() { return caller.has("hello"); }));
+        }
+        caller.close();
+        CHECK(one.until([&]() { return one.events.gone.size() == 1; }));
+        if (!answered)
+        {
+            testing::run_ready(one.io);
+            LONGS_EQUAL(0, one.events.finished.size());
+            peer.send(answer_200("done"));
+        }
+        CHECK(one.until([&]() { return one.events.finished.size() == 1; }));
+        CHECK(one.events.finished[0].report.result ==
+              (answered ? attempt_result::cancelled : attempt_result::completed));
+        LONGS_EQUAL(200, one.events.finished[0].report.status);
+        LONGS_EQUAL(0, one.mover.requests());
+        LONGS_EQUAL(0, one.buffers.in_use());
+    }
+}
+
+// Guards against attempts of requests that are not there any more.
+TEST(relay_attempts, unknown_requests_are_reported_as_not_sent)
+{
+    auto const id = path.attempt(base::local_request_id(77), path.upstream.at());
+    LONGS_EQUAL(0, path.events.finished.size());
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].id == id);
+    CHECK(path.events.finished[0].report.result == attempt_result::not_sent);
+}
+
+TEST_GROUP(relay_bodies)
+{
+    data_path path;
+    base::local_request_id request{1};
+};
+
+// Guards against slow callers that hold the slots of upstreams.
+TEST(relay_bodies, requests_are_not_attempted_before_their_body_is_here)
+{
+    raw_peer caller(path.io, path.port);
+    caller.send("POST /orders HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc");
+    CHECK(path.until([&]() { return path.server.exchanges() == 1; }));
+    testing::run_ready(path.io);
+    LONGS_EQUAL(0, path.events.arrived.size());
+    caller.send("\r\n0\r\n\r\n");
+    CHECK(path.until([&]() { return path.events.arrived.size() == 1; }));
+    path.attempt(request, path.upstream.at());
+    CHECK(peer_with(path, path.upstream, 0, "abc").has("Content-Length: 3\r\n"));
+}
+
+// Guards against a malformed body that is forwarded, and against "not run" once it was.
+TEST(relay_bodies, malformed_bodies_end_the_request)
+{
+    for (bool const announced : {false, true})
+    {
+        data_path one;
+        raw_peer caller(one.io, one.port);
+        auto const size = announced ? kept_body_bytes_in_test : std::size_t(100);
+        caller.send("POST /orders HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    chunk(size));
+        if (announced)
+        {
+            CHECK(one.until([&]() { return one.events.arrived.size() == 1; }));
+            one.attempt(request, one.upstream.at(), false);
+            peer_with(one, one.upstream, 0, std::string(1000, 'a'));
+        }
+        caller.send("nonsense\r\n\r\n");
+        CHECK(one.until([&]() { return caller.ended(); }));
+        CHECK(caller.has("HTTP/1.1 400 "));
+        CHECK(caller.has(announced ? "Request-Outcome: may-have-run" : "Request-Outcome: not-run"));
+        CHECK(one.until([&]() { return one.mover.requests() == 0; }));
+        LONGS_EQUAL(announced ? 1 : 0, one.events.gone.size());
+        LONGS_EQUAL(announced ? 1 : 0, one.events.finished.size());
+        LONGS_EQUAL(0, one.buffers.in_use());
+    }
+}
+
+// Guards against memory that grows with the size of a request, and against a second attempt that
+// would send a body without its beginning.
+TEST(relay_bodies, large_requests_are_streamed_in_bounded_memory)
+{
+    raw_peer caller(path.io, path.port);
+    std::string const body(20'000'000, 'a');
+    caller.send(post(body));
+    CHECK(path.until([&]() { return path.events.arrived.size() == 1; }));
+    LONGS_EQUAL(5, path.buffers.peak()); // 64 KiB that are kept, and the caller's buffer.
+    CHECK(path.mover.can_attempt(request));
+    path.attempt(request, path.upstream.at(), false);
+    auto& peer = peer_with(path, path.upstream, 0, "\r\n\r\n");
+    peer.pause(true);
+    testing::run_ready(path.io);
+    CHECK(caller.sent() < body.size());
+    CHECK_FALSE(path.mover.can_attempt(request));
+    path.attempt(request, path.upstream.at(), false);
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::not_sent);
+    peer.pause(false);
+    CHECK(path.until([&]() { return peer.text().size() > body.size(); }));
+    auto const begin = peer.text().find("\r\n\r\n") + 4;
+    CHECK(peer.text().compare(begin, std::string::npos, body) == 0);
+    peer.send(answer_200("done"));
+    CHECK(path.until([&]() { return caller.has("done"); }));
+    LONGS_EQUAL(5, path.buffers.peak());
+    LONGS_EQUAL(0, path.buffers.in_use());
+}
+
+// Guards against memory that grows with an answer which its caller reads slowly.
+TEST(relay_bodies, large_answers_are_streamed_in_bounded_memory)
+{
+    for (bool const chunked : {false, true})
+    {
+        data_path one;
+        raw_peer caller(one.io, one.port);
+        caller.pause(true);
+        caller.send(get("/catalog/a"));
+        CHECK(one.until([&]() { return one.events.arrived.size() == 1; }));
+        one.attempt(request, one.upstream.at());
+        std::string const body(20'000'000, 'a');
+        auto& peer = peer_with(one, one.upstream, 0, "\r\n\r\n");
+        peer.send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1312d00\r\n" +
+                                body + "\r\n0\r\n\r\n"
+                          : answer_200(body));
+        CHECK(one.until([&]() { return !one.events.heads.empty(); }));
+        testing::run_ready(one.io);
+        LONGS_EQUAL(0, peer.sent());
+        LONGS_EQUAL(0, one.events.finished.size());
+        caller.pause(false);
+        CHECK(one.until(
+            [&]()
+            { return one.events.finished.size() == 1 && caller.text().size() > body.size(); }));
+        CHECK(one.events.finished[0].report.result == attempt_result::completed);
+        LONGS_EQUAL(body.size(), one.events.finished[0].report.bytes_received);
+        LONGS_EQUAL(1, one.buffers.peak());
+        CHECK(one.until([&]() { return one.mover.requests() == 0; }));
+        LONGS_EQUAL(0, one.buffers.in_use());
+    }
+}
+
+// Guards against two attempts of a large body that wait for each other for ever.
+TEST(relay_bodies, a_broken_attempt_makes_room_for_the_other_one)
+{
+    testing::raw_listener other(path.io);
+    raw_peer caller(path.io, path.port);
+    std::string const body(20'000'000, 'a');
+    caller.send(post(body));
+    CHECK(path.until([&]() { return path.events.arrived.size() == 1; }));
+    auto const held = path.attempt(request, path.upstream.at());
+    path.attempt(request, other.at());
+    peer_with(path, path.upstream, 0, "\r\n\r\n").pause(true);
+    peer_with(path, other, 0, "\r\n\r\n");
+    testing::run_ready(path.io);
+    CHECK(other.peers[0]->text().size() < body.size()); // It waits for the paused one.
+    path.mover.cancel_attempt(held);
+    CHECK(path.until([&]() { return other.peers[0]->text().size() > body.size(); }));
+    other.peers[0]->send(answer_200("done"));
+    CHECK(path.until([&]() { return caller.has("done"); }));
+}
+
+// Guards against a stop that cuts a long request.
+TEST(relay_bodies, a_drain_waits_for_a_long_answer)
+{
+    raw_peer caller(path.io, path.port);
+    caller.send(get("/catalog/a"));
+    CHECK(path.until([&]() { return path.events.arrived.size() == 1; }));
+    path.attempt(request, path.upstream.at());
+    auto& peer = peer_with(path, path.upstream, 0, "\r\n\r\n");
+    bool done = false;
+    path.server.drain([&]() { done = true; });
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello");
+    CHECK(path.until([&]() { return caller.has("hello"); }));
+    path.timers.advance(std::chrono::seconds(3)); // Past the deadline, within the idle limit.
+    testing::run_ready(path.io);
+    CHECK_FALSE(done);
+    peer.send("world");
+    CHECK(path.until([&]() { return done && caller.ended(); }));
+    CHECK(caller.has("Connection: close\r\n"));
+    CHECK(caller.has("helloworld"));
+}
