--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -23,13 +23,15 @@
 # fuchsiaproxy_package(NAME [LIBRARIES lib...])
 #
 # Builds fuchsiaproxy_NAME from src/NAME/*.cpp and, from src/NAME/*_test.cpp, one test program
-# NAME_test, each test group of which is registered with ctest.
+# NAME_test, each test group of which is registered with ctest. Each src/NAME/X_bench.cpp becomes
+# a program X_bench.
 function(fuchsiaproxy_package name)
   cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
   set(tests ${sources})
   list(FILTER sources EXCLUDE REGEX "_(test|bench)\\.cpp$")
   list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*_bench.cpp)
   if(sources)
     add_library(fuchsiaproxy_${name} STATIC ${sources})
     target_link_libraries(fuchsiaproxy_${name} PUBLIC fuchsiaproxy_options ${ARG_LIBRARIES})
@@ -41,6 +43,11 @@
   if(tests)
     fuchsiaproxy_tests(${name}_test SOURCES ${tests} LIBRARIES fuchsiaproxy_${name})
   endif()
+  foreach(file ${benches})
+    get_filename_component(bench ${file} NAME_WE)
+    add_executable(${bench} ${file})
+    target_link_libraries(${bench} PRIVATE fuchsiaproxy_${name})
+  endforeach()
 endfunction()
 
 # fuchsiaproxy_tests(NAME SOURCES file... LIBRARIES lib...)
