Split the deployment on loopback from the demo

Cause: the runs of failures with real processes need the same set-up. Change: scripts/loopback/deployment.py serves both; make demo. Conclusion: one set-up for the demo and the proofs.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 8
 
-.PHONY: all build check lint format
+.PHONY: all build check lint format demo prove bench
 
 all: build
 
@@ -21,3 +21,8 @@
 
 format:
 	find src -name '*.cpp' -o -name '*.hpp' | xargs clang-format -i
+
+DEPLOYMENT ?= varjuvork
+
+demo: build
+	scripts/demo --build $(BUILD) --deployment $(DEPLOYMENT) $(if $(HOLD),--hold)
--- /dev/null
+++ b/scripts/loopback/deployment.py
@@ -0,0 +1,220 @@
+"""Runs a deployment of examples/ as processes on loopback, for the demo and the failure runs."""
+
+import glob
+import json
+import os
+import signal
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ENTRIES_PER_ZONE = 2
+PEER_SECRET = "demo-secret-of-the-loopback-setup"
+OPERATOR = {"varjuvork": "ilme:ilme-demo-key", "pamplemousses": "devi:devi-demo-key"}
+# Service time of the stand-ins, in milliseconds; long enough that work is in flight at each kill.
+SERVICE_TIME_MS = 20
+
+
+class Processes:
+    """Starts child processes and ends them by their ids."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.children = {}
+
+    def start(self, name, command, wait_for_line=True):
+        log = open(os.path.join(self.folder, name + ".log"), "w", encoding="utf-8")
+        child = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
+        self.children[name] = child
+        return child.stdout.readline() if wait_for_line else ""
+
+    def signal(self, name, number):
+        self.children[name].send_signal(number)
+
+    def wait(self, name, timeout):
+        return self.children[name].wait(timeout)
+
+    def stop_all(self):
+        for child in self.children.values():
+            if child.poll() is None:
+                child.send_signal(signal.SIGKILL)
+        for child in self.children.values():
+            child.wait()
+
+
+def http(method, url, body=None, timeout=2.0):
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=timeout) as answer:
+        text = answer.read().decode()
+    return json.loads(text) if text.startswith(("{", "[")) else text
+
+
+def wait_until(condition, what, timeout=30.0):
+    """Waits for a condition; the time limit only bounds a demo that fails."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except (urllib.error.URLError, ConnectionError, TimeoutError):
+            pass
+        time.sleep(0.05)
+    raise RuntimeError("waited in vain for " + what)
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for it in sockets:
+        it.bind(("127.0.0.1", 0))
+    ports = [it.getsockname()[1] for it in sockets]
+    for it in sockets:
+        it.close()
+    return ports
+
+
+class Deployment:
+    """One of the folders below examples/, running on loopback."""
+
+    def __init__(self, name, build, folder, seed):
+        self.name = name
+        self.declarations = os.path.join(REPOSITORY, "examples", name)
+        self.bin = os.path.join(build, "src")
+        self.folder = folder
+        self.seed = seed
+        self.processes = Processes(folder)
+        self.zones = self.read("setup.json")["zones"]
+        self.places = [place for path in glob.glob(os.path.join(self.declarations, "places-*.json"))
+                       for place in json.load(open(path, encoding="utf-8"))["places"]]
+        self.services = self.read("services.json")["services"]
+        self.entries = {}
+        self.store = ""
+        self.upstreams = ""
+
+    def read(self, name):
+        with open(os.path.join(self.declarations, name), encoding="utf-8") as file:
+            return json.load(file)
+
+    def program(self, name):
+        return os.path.join(self.bin, name)
+
+    def start(self):
+        started = json.loads(self.processes.start(
+            "store", [self.program("fuchsiastandin"), "store", "--listen", "127.0.0.1:0"]))
+        self.store = started["store"]
+        self.start_upstreams()
+        self.start_entries()
+        self.bootstrap()
+        for name, it in self.entries.items():
+            wait_until(lambda it=it: self.is_ready(it), "entry " + name + " to be ready")
+
+    def start_upstreams(self):
+        specs = []
+        for place in self.places:
+            for it in place["upstreams"]:
+                specs.append({"id": it["id"], "listen": f"{it['address']}:{it['port']}",
+                              "settings": {"slots": it["slots"], "service_time_ms": SERVICE_TIME_MS,
+                                           "max_connections": it["max_connections"]}})
+                self.register(it["id"], "upstream", f"{it['address']}:{it['port']}")
+        path = os.path.join(self.folder, "upstreams.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(specs, file)
+        self.processes.start("upstreams", [self.program("fuchsiastandin"), "upstream", "--spec", path,
+                                           "--seed", str(self.seed)])
+        self.upstreams = specs[0]["listen"]
+        self.upstream_specs = specs
+
+    def register(self, name, role, address, state="live"):
+        http("PUT", f"http://{self.store}/v1/instances/{name}",
+             {"id": name, "role": role, "address": address, "state": state})
+
+    def start_entries(self):
+        for zone in self.zones:
+            for number in range(1, ENTRIES_PER_ZONE + 1):
+                self.start_entry(f"{zone['id']}-{number}", zone)
+
+    def start_entry(self, name, zone, ports=None):
+        callers, peers, operators = ports or free_ports(3)
+        it = {"callers": f"127.0.0.1:{callers}", "peers": f"127.0.0.1:{peers}",
+              "operators": f"127.0.0.1:{operators}", "zone": zone["id"]}
+        host, port = self.store.split(":")
+        platform = {"address": host, "port": int(port)}
+        settings = {
+            "instance": {"id": name, "region": zone["region"], "zone": zone["id"]},
+            "listen": {"callers": {"address": "127.0.0.1", "port": callers},
+                       "peers": {"address": "127.0.0.1", "port": peers},
+                       "operators": {"address": "127.0.0.1", "port": operators}},
+            "platform": {"store": platform, "instances": platform},
+            "peers": {"secret": PEER_SECRET},
+        }
+        path = os.path.join(self.folder, name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        self.register(name, "entry", it["peers"])
+        self.processes.start(name, [self.program("fuchsiad"), "--settings", path],
+                             wait_for_line=False)
+        self.entries[name] = it
+
+    def control(self, *arguments):
+        """Runs fuchsiactl against one entry and returns its output."""
+        first = next(iter(self.entries.values()))
+        command = [self.program("fuchsiactl"), "--api", first["operators"],
+                   "--user", OPERATOR[self.name], *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+        if done.returncode != 0:
+            raise RuntimeError(" ".join(command) + ": " + done.stderr)
+        return done.stdout
+
+    def bootstrap(self):
+        first = next(iter(self.entries.values()))
+        wait_until(lambda: http("GET", f"http://{first['operators']}/healthz") is not None,
+                   "the operators' API")
+        self.control("bootstrap", self.declarations)
+
+    def is_ready(self, entry):
+        service = self.services[0]["id"]
+        url = f"http://{entry['callers']}/lookup?service={service}&zone={entry['zone']}"
+        return len(http("GET", url)["entries"]) == 3
+
+    def start_caller(self, name, zone, service, rate, count, seed):
+        entries = [it["callers"] for it in self.entries.values() if it["zone"] == zone]
+        others = [it["callers"] for it in self.entries.values() if it["zone"] != zone]
+        report = os.path.join(self.folder, name + ".report.json")
+        command = [self.program("fuchsiastandin"), "caller", "--service", service, "--zone", zone,
+                   "--lookup-target", f"/{service}/items", "--order-target", f"/{service}/new",
+                   "--rate", str(rate), "--count", str(count), "--order-share", "0.3",
+                   "--deadline-ms", "1000", "--seed", str(seed), "--json", report]
+        for it in entries + others[:2]:
+            command += ["--entry", it]
+        self.processes.start(name, command, wait_for_line=False)
+        return report
+
+
+def ordered_service(deployment):
+    """The first service with a class that is not idempotent and named, such as orders."""
+    for it in deployment.services:
+        if it["id"] not in ("catalog", "catalogue"):
+            return it["id"]
+    return deployment.services[0]["id"]
+
+
+def check_orders(reports, runs):
+    """Compares what the callers were told of each order with what the upstreams ran.
+
+    Returns the ids that ran twice, that were lost (told "run" without a run) and that ran although
+    the caller was told "not run".
+    """
+    told = {}
+    for report in reports:
+        for outcome, ids in report["order_ids"].items():
+            for it in ids:
+                told[it] = outcome
+    twice = [it for it in told if runs.get(it, 0) > 1]
+    lost = [it for it, outcome in told.items()
+            if outcome in ("run", "already-run") and runs.get(it, 0) == 0]
+    false_not_run = [it for it, outcome in told.items()
+                     if outcome == "not-run" and runs.get(it, 0) > 0]
+    return twice, lost, false_not_run
