--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -14,6 +14,7 @@
 #include "fuchsiaproxy/runtime/duty_thread.hpp"
 #include "fuchsiaproxy/runtime/events.hpp"
 #include "fuchsiaproxy/runtime/operators_loop.hpp"
+#include "fuchsiaproxy/runtime/peer_loop.hpp"
 #include "fuchsiaproxy/runtime/platform_loop.hpp"
 #include "fuchsiaproxy/runtime/traffic_loop.hpp"
 #include "fuchsiaproxy/telemetry/metrics.hpp"
@@ -85,9 +86,12 @@
                           [this](traffic_event it) { traffic_.handle(std::move(it)); }),
           platform_thread_(settings_.limits.ring_items,
                            [this](platform_order it) { platform_.handle(std::move(it)); }),
+          peers_thread_(settings_.limits.ring_items,
+                        [this](peer_order it) { peers_.handle(std::move(it)); }),
           operators_thread_(settings_.limits.ring_items, [](operators_order const&) {}),
           traffic_(traffic_thread_.io(), settings_, self_, seed_, permit_, outputs()),
           platform_(platform_thread_.io(), settings_.platform, platform_counters_, to_traffic()),
+          peers_(peers_thread_.io(), settings_, self_, seed_, to_traffic()),
           operators_(operators_thread_.io(), settings_, platform_counters_, to_traffic(),
                      [this] { return metrics_.text(); })
     {
@@ -100,6 +104,11 @@
         {
             return port.error();
         }
+        auto const linked = peers_.listen();
+        if (!linked)
+        {
+            return linked.error();
+        }
         auto const operators_port = operators_.listen();
         if (!operators_port)
         {
@@ -133,7 +142,7 @@
     traffic_outputs outputs()
     {
         traffic_outputs made;
-        made.to_peers = [](peer_order const&) { return true; };
+        made.to_peers = [this](peer_order it) { return peers_thread_.push(std::move(it)); };
         made.to_platform = [this](platform_order it)
         { return platform_thread_.push(std::move(it)); };
         made.adopted = [this](std::shared_ptr<model::configuration const> it)
@@ -148,6 +157,7 @@
     {
         traffic_thread_.start();
         platform_thread_.start();
+        peers_thread_.start();
         operators_thread_.start();
         boost::asio::post(traffic_thread_.io(), [this] { traffic_.run(); });
         boost::asio::post(platform_thread_.io(), [this] { platform_.run(); });
@@ -157,6 +167,7 @@
     {
         traffic_thread_.stop();
         platform_thread_.stop();
+        peers_thread_.stop();
         operators_thread_.stop();
     }
 
@@ -187,9 +198,11 @@
         std::make_shared<platform::platform_counters>();
     duty_thread<traffic_event> traffic_thread_;
     duty_thread<platform_order> platform_thread_;
+    duty_thread<peer_order> peers_thread_;
     duty_thread<operators_order> operators_thread_;
     traffic_loop traffic_;
     platform_loop platform_;
+    peer_loop peers_;
     operators_loop operators_;
 };
 
