Export the counts of all parts as metrics

Change: runtime/metrics_export copies the counts to prometheus-cpp once a second on the thread that owns them; /metrics serves the text.

Conclusion: what an entry does can be scraped.

--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -20,11 +21,16 @@
 #include "fuchsiaproxy/telemetry/metrics.hpp"
 #include "fuchsiaproxy/telemetry/state_log.hpp"
 
+#include "metrics_export.hpp"
+
 namespace fuchsiaproxy::runtime
 {
 namespace
 {
 
+// Period at which counts become metrics.
+constexpr base::duration export_period = std::chrono::seconds(1);
+
 // Low bits of an incarnation that are random; the start time in milliseconds stands above them.
 constexpr unsigned incarnation_random_bits = 16;
 
@@ -155,6 +161,10 @@
 
     void start_threads()
     {
+        export_timers_.push_back(traffic_timers_.every(export_period, [this](base::time_point now)
+                                                       { export_traffic_thread(now); }));
+        export_timers_.push_back(peer_timers_.every(export_period, [this](base::time_point)
+                                                    { export_peers(*peers_.counts(), metrics_); }));
         traffic_thread_.start();
         platform_thread_.start();
         peers_thread_.start();
@@ -163,6 +173,17 @@
         boost::asio::post(platform_thread_.io(), [this] { platform_.run(); });
     }
 
+    void export_traffic_thread(base::time_point now)
+    {
+        export_engine(traffic_.decisions(), now, metrics_);
+        export_callers(traffic_.server_counts(), metrics_);
+        export_upstreams(traffic_.client_counts(), metrics_);
+        export_traffic(traffic_.counts(), metrics_);
+        export_platform(*platform_counters_, metrics_);
+        metrics_.set_counter("fuchsiaproxy_log_lines_dropped_total", "Log lines dropped.", {},
+                             static_cast<double>(log_.dropped()));
+    }
+
     void stop_threads()
     {
         traffic_thread_.stop();
@@ -203,7 +224,10 @@
     traffic_loop traffic_;
     platform_loop platform_;
     peer_loop peers_;
+    asio_timer_service traffic_timers_{traffic_thread_.io()};
+    asio_timer_service peer_timers_{peers_thread_.io()};
     operators_loop operators_;
+    std::vector<std::unique_ptr<base::timer_subscription>> export_timers_;
 };
 
 daemon::daemon(settings::daemon_settings settings)
