--- /dev/null
+++ b/src/requests/claim_world_test.hpp
@@ -0,0 +1,692 @@
+#ifndef FUCHSIAPROXY_REQUESTS_CLAIM_WORLD_TEST_HPP
+#define FUCHSIAPROXY_REQUESTS_CLAIM_WORLD_TEST_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fuchsiaproxy/requests/claim_protocol.hpp"
+
+namespace fuchsiaproxy::requests::testing
+{
+
+/// An id that exists before the first step.
+struct world_id
+{
+    int primary = 0;
+    /// -1 for none.
+    int witness = 1;
+};
+
+/// A caller that sends an id to an entry once.
+struct submission
+{
+    int entry = 0;
+    int id = 0;
+};
+
+/// Entries, callers and the number of faults that may happen.
+struct scenario
+{
+    std::string name;
+    int entries = 3;
+    std::vector<world_id> ids{world_id{}};
+    std::vector<submission> submissions;
+    int losses = 0;
+    int duplicates = 0;
+    int crashes = 0;
+    int unreachable = 0;
+    int short_waits = 0;
+    int long_waits = 0;
+    int heartbeats = 0;
+    int caller_losses = 0;
+    bool upstream_faults = false;
+    claim_limits limits{};
+};
+
+enum class step_kind
+{
+    submit,
+    deliver,
+    deliver_and_keep,
+    lose,
+    crash,
+    restart,
+    unreachable,
+    short_wait,
+    long_wait,
+    tick,
+    heartbeat,
+    caller_gone,
+    send,
+    give_up,
+    run_and_answer,
+    shed,
+    shed_and_retry,
+    break_connection,
+    run_unobserved
+};
+
+/// One event; the meaning of `a` and `b` depends on the kind.
+struct step
+{
+    step_kind kind;
+    int a = 0;
+    int b = 0;
+};
+
+/// Entries with everything around them: messages on the way, runs and upstreams, and what callers
+/// were told. A value, so that an exploration can branch. Every entry has its own clock.
+class world
+{
+public:
+    explicit world(scenario const& s)
+        : scenario_(&s), left_{s.losses,      s.duplicates, s.crashes,    s.unreachable,
+                               s.short_waits, s.long_waits, s.heartbeats, s.caller_losses}
+    {
+        for (int n = 0; n < s.entries; ++n)
+        {
+            entry_incarnation const self{name(n), base::incarnation{std::uint64_t(n) + 1}};
+            entries_.push_back(std::make_shared<entry>(
+                entry{claim_protocol{self, s.limits, start}, self, start, true, {}}));
+        }
+        for (std::size_t n = 0; n < s.ids.size(); ++n)
+        {
+            auto const [primary, witness] = s.ids[n];
+            auto& p = change(primary);
+            p.protocol.set_witness(witness < 0 ? std::optional<entry_incarnation>{}
+                                               : entries_[witness]->self);
+            ids_.push_back(p.protocol.issue_ticket(start) + ".n" + std::to_string(n));
+            if (witness >= 0)
+            {
+                introduce(primary, witness);
+            }
+        }
+        facts_.resize(ids_.size());
+        answers_.resize(s.submissions.size());
+        submitted_at_.resize(s.submissions.size(), base::incarnation{0});
+        for (int n = 0; n < s.entries; ++n)
+        {
+            seal(n);
+        }
+    }
+
+    /// Returns every event that can happen now.
+    std::vector<step> steps() const
+    {
+        std::vector<step> all;
+        auto const& s = *scenario_;
+        for (int n = 0; n < int(s.submissions.size()); ++n)
+        {
+            if (submitted_at_[n].value() == 0 && entries_[s.submissions[n].entry]->alive)
+            {
+                all.push_back({step_kind::submit, n});
+            }
+            else if (answers_[n] == 0 && left_[callers] > 0 && is_present(n))
+            {
+                all.push_back({step_kind::caller_gone, n});
+            }
+        }
+        for (int n = 0; n < int(flights_.size()); ++n)
+        {
+            if (n > 0 && flights_[n].key == flights_[n - 1].key)
+            {
+                continue;
+            }
+            all.push_back({step_kind::deliver, n});
+            add_if(all, left_[duplicates], {step_kind::deliver_and_keep, n});
+            add_if(all, left_[losses], {step_kind::lose, n});
+        }
+        for (int n = 0; n < s.entries; ++n)
+        {
+            if (!entries_[n]->alive)
+            {
+                all.push_back({step_kind::restart, n});
+                continue;
+            }
+            all.push_back({step_kind::tick, n});
+            add_if(all, left_[crashes], {step_kind::crash, n});
+            add_if(all, left_[short_waits], {step_kind::short_wait, n});
+            add_if(all, left_[long_waits], {step_kind::long_wait, n});
+            for (int m = 0; m < s.entries; ++m)
+            {
+                if (m != n)
+                {
+                    add_if(all, left_[unreachable], {step_kind::unreachable, n, m});
+                    add_if(all, left_[heartbeats], {step_kind::heartbeat, n, m});
+                }
+            }
+        }
+        for (int n = 0; n < int(runs_.size()); ++n)
+        {
+            add_run_steps(all, n);
+        }
+        return all;
+    }
+
+    void apply(step const& it)
+    {
+        switch (it.kind)
+        {
+        case step_kind::submit:
+            submit(it.a);
+            break;
+        case step_kind::deliver:
+        case step_kind::deliver_and_keep:
+        {
+            auto const message = flights_[it.a];
+            if (it.kind == step_kind::deliver)
+            {
+                flights_.erase(flights_.begin() + it.a);
+            }
+            else
+            {
+                --left_[duplicates];
+            }
+            if (entries_[message.to]->alive)
+            {
+                act(message.to, [&](entry& e, claim_actions& actions)
+                    { e.protocol.on_message(message.from, message.body, e.now, actions); });
+            }
+            break;
+        }
+        case step_kind::lose:
+            --left_[losses];
+            flights_.erase(flights_.begin() + it.a);
+            break;
+        case step_kind::crash:
+            --left_[crashes];
+            crash(it.a);
+            break;
+        case step_kind::restart:
+            restart(it.a);
+            break;
+        case step_kind::unreachable:
+            --left_[unreachable];
+            act(it.a, [&](entry& e, claim_actions& actions)
+                { e.protocol.on_peer_unreachable(name(it.b), e.now, actions); });
+            break;
+        case step_kind::short_wait:
+            --left_[short_waits];
+            change(it.a).now += std::chrono::milliseconds{300};
+            seal(it.a);
+            break;
+        case step_kind::long_wait:
+            --left_[long_waits];
+            change(it.a).now += std::chrono::hours{1};
+            seal(it.a);
+            break;
+        case step_kind::tick:
+            act(it.a, [](entry& e, claim_actions& actions) { e.protocol.tick(e.now, actions); });
+            break;
+        case step_kind::heartbeat:
+            --left_[heartbeats];
+            introduce(it.a, it.b);
+            seal(it.a);
+            seal(it.b);
+            break;
+        case step_kind::caller_gone:
+            --left_[callers];
+            answers_[it.a] = 'g';
+            act(scenario_->submissions[it.a].entry, [&](entry& e, claim_actions& actions)
+                { e.protocol.on_caller_gone(local(it.a), e.now, actions); });
+            break;
+        default:
+            apply_run(it);
+            break;
+        }
+    }
+
+    /// Returns what is wrong, or nothing.
+    std::string violation() const
+    {
+        for (auto const& it : facts_)
+        {
+            if (it.runs > 1)
+            {
+                return "an id ran twice";
+            }
+            if (it.runs > 0 && it.told_not_run)
+            {
+                return "\"not run\" was told for an id that ran";
+            }
+            if (it.runs == 0 && it.told_already_run)
+            {
+                return "\"already run\" was told for an id that did not run";
+            }
+        }
+        if (answered_twice_)
+        {
+            return "a caller got two answers";
+        }
+        for (auto const& it : entries_)
+        {
+            if (it->protocol.counters().contradictions != 0)
+            {
+                return "an entry counted a contradiction";
+            }
+        }
+        return {};
+    }
+
+    /// Returns the submissions that have no answer although every deadline has passed.
+    std::string unanswered() const
+    {
+        auto later = *this;
+        for (int n = 0; n < scenario_->entries; ++n)
+        {
+            if (entries_[n]->alive)
+            {
+                later.change(n).now += std::chrono::hours{24};
+                later.apply({step_kind::tick, n});
+            }
+        }
+        for (std::size_t n = 0; n < answers_.size(); ++n)
+        {
+            if (later.answers_[n] == 0 && later.is_present(int(n)))
+            {
+                return "caller " + std::to_string(n) + " got no answer";
+            }
+        }
+        return {};
+    }
+
+    /// Returns a hash of everything that decides what can happen.
+    std::uint64_t hash() const
+    {
+        std::string text;
+        for (auto const& it : entries_)
+        {
+            text += it->state;
+            text += it->alive ? '+' : '-';
+        }
+        for (auto const& it : flights_)
+        {
+            text += it.key;
+        }
+        for (auto const& it : runs_)
+        {
+            text += std::to_string(it.submission) + '.' + std::to_string(it.number.value()) + '.' +
+                    char('0' + int(it.state)) + ';';
+        }
+        for (auto const& it : facts_)
+        {
+            text += char('0' + it.runs);
+            text += it.told_not_run ? 'n' : '-';
+            text += it.told_already_run ? 'a' : '-';
+        }
+        for (std::size_t n = 0; n < answers_.size(); ++n)
+        {
+            text += answers_[n] == 0 ? '.' : answers_[n];
+            text += std::to_string(submitted_at_[n].value());
+        }
+        for (auto const it : left_)
+        {
+            text += char('0' + it);
+        }
+        return std::hash<std::string>{}(text);
+    }
+
+    /// Answer of a submission: 0 none, 'r' run, 'n' not run, 'a' already run, 'm' may have run,
+    /// 'g' caller left.
+    char answer(std::size_t n) const
+    {
+        return answers_[n];
+    }
+
+    /// Entry that a message on the way is sent to.
+    int receiver(int flight_number) const
+    {
+        return flights_[flight_number].to;
+    }
+
+    /// Entry that a run belongs to.
+    int runner(int run_number) const
+    {
+        return scenario_->submissions[runs_[run_number].submission].entry;
+    }
+
+    bool is_alive(int n) const
+    {
+        return entries_[n]->alive;
+    }
+
+    /// Number of the messages that are on the way.
+    int in_flight() const
+    {
+        return int(flights_.size());
+    }
+
+private:
+    enum budget
+    {
+        losses,
+        duplicates,
+        crashes,
+        unreachable,
+        short_waits,
+        long_waits,
+        heartbeats,
+        callers,
+        budget_count
+    };
+
+    struct entry
+    {
+        claim_protocol protocol;
+        entry_incarnation self;
+        base::time_point now;
+        bool alive;
+        std::string state;
+    };
+
+    struct flight
+    {
+        entry_incarnation from;
+        int to = 0;
+        messages::message body;
+        std::string key;
+    };
+
+    enum class run_state
+    {
+        decided,
+        sent,
+        /// Sent, but its entry is gone or gave up the connection.
+        orphaned
+    };
+
+    struct run
+    {
+        int submission = 0;
+        base::incarnation number;
+        run_state state = run_state::decided;
+    };
+
+    struct fact
+    {
+        int runs = 0;
+        bool told_not_run = false;
+        bool told_already_run = false;
+    };
+
+    static constexpr base::time_point start{std::chrono::hours{1}};
+    static constexpr std::uint32_t upstream_status = 200;
+
+    static base::instance_id name(int n)
+    {
+        return base::instance_id{std::string(1, char('a' + n))};
+    }
+
+    static base::local_request_id local(int submission)
+    {
+        return base::local_request_id{std::uint64_t(submission) + 1};
+    }
+
+    static void add_if(std::vector<step>& all, int left, step it)
+    {
+        if (left > 0)
+        {
+            all.push_back(it);
+        }
+    }
+
+    bool is_present(int submission) const
+    {
+        auto const& e = *entries_[scenario_->submissions[submission].entry];
+        return e.alive && e.self.number == submitted_at_[submission];
+    }
+
+    entry& change(int n)
+    {
+        // Branches of an exploration share the entries that they did not change.
+        if (entries_[n].use_count() > 1)
+        {
+            entries_[n] = std::make_shared<entry>(*entries_[n]);
+        }
+        return *entries_[n];
+    }
+
+    void seal(int n)
+    {
+        auto& e = change(n);
+        e.state.clear();
+        e.protocol.append_state(e.state);
+        e.state += std::to_string((e.now - start).count() / 1'000'000);
+    }
+
+    template <class Event>
+    void act(int n, Event&& event)
+    {
+        claim_actions actions;
+        auto& e = change(n);
+        event(e, actions);
+        auto const self = e.self;
+        seal(n);
+        for (auto const& it : actions)
+        {
+            take(self, it);
+        }
+    }
+
+    void take(entry_incarnation const& self, claim_action const& action)
+    {
+        if (auto const* const send = std::get_if<send_message>(&action))
+        {
+            int const to = send->to.value().front() - 'a';
+            flights_.push_back({self, to, send->body, key_of(self, to, send->body)});
+            std::sort(flights_.begin(), flights_.end(),
+                      [](flight const& a, flight const& b) { return a.key < b.key; });
+        }
+        else if (auto const* const it = std::get_if<run_request>(&action))
+        {
+            int const n = int(it->request.value()) - 1;
+            answer(n, 'r');
+            runs_.push_back({n, self.number, run_state::decided});
+        }
+        else if (auto const* const refused = std::get_if<refuse_request>(&action))
+        {
+            int const n = int(refused->request.value()) - 1;
+            auto& known = facts_[scenario_->submissions[n].id];
+            switch (base::answer_for(refused->kind).outcome)
+            {
+            case base::request_outcome::not_run:
+                known.told_not_run = true;
+                answer(n, 'n');
+                break;
+            case base::request_outcome::already_run:
+                known.told_already_run = true;
+                answer(n, 'a');
+                break;
+            default:
+                answer(n, 'm');
+                break;
+            }
+        }
+    }
+
+    void answer(int n, char what)
+    {
+        answered_twice_ = answered_twice_ || answers_[n] != 0;
+        answers_[n] = what;
+    }
+
+    static std::string key_of(entry_incarnation const& from, int to, messages::message const& body)
+    {
+        auto key = std::to_string(from.number.value()) + '>' + std::to_string(to) + '#' +
+                   std::to_string(body.index());
+        std::visit(
+            [&key](auto const& it)
+            {
+                using type = std::decay_t<decltype(it)>;
+                if constexpr (std::is_same_v<type, messages::resolution>)
+                {
+                    key += it.request_id + char('0' + int(it.state));
+                }
+                else if constexpr (std::is_same_v<type, messages::claim> ||
+                                   std::is_same_v<type, messages::grant> ||
+                                   std::is_same_v<type, messages::deny> ||
+                                   std::is_same_v<type, messages::done> ||
+                                   std::is_same_v<type, messages::resolve>)
+                {
+                    key += it.request_id;
+                }
+            },
+            body);
+        return key + ';';
+    }
+
+    void introduce(int from, int to)
+    {
+        auto& sender = change(from);
+        messages::heartbeat beat;
+        beat.self.id = sender.self.instance;
+        beat.self.incarnation = sender.self.number;
+        beat.self.generation = sender.protocol.generation(sender.now);
+        beat.self.witness = entries_[to]->self.instance;
+        beat.self.witness_incarnation = entries_[to]->self.number;
+        auto const self = sender.self;
+        if (entries_[to]->alive)
+        {
+            act(to, [&](entry& e, claim_actions& actions)
+                { e.protocol.on_message(self, beat, e.now, actions); });
+        }
+    }
+
+    void submit(int n)
+    {
+        auto const& it = scenario_->submissions[n];
+        submitted_at_[n] = entries_[it.entry]->self.number;
+        act(it.entry,
+            [&](entry& e, claim_actions& actions)
+            {
+                e.protocol.on_request(local(n), ids_[it.id], e.now + std::chrono::seconds{10},
+                                      e.now, actions);
+            });
+    }
+
+    void crash(int n)
+    {
+        auto const number = entries_[n]->self.number;
+        change(n).alive = false;
+        for (auto it = runs_.begin(); it != runs_.end();)
+        {
+            if (it->number != number || it->state == run_state::orphaned)
+            {
+                ++it;
+            }
+            else if (it->state == run_state::decided)
+            {
+                it = runs_.erase(it);
+            }
+            else
+            {
+                it->state = run_state::orphaned;
+                ++it;
+            }
+        }
+    }
+
+    void restart(int n)
+    {
+        auto& e = change(n);
+        e.self.number = base::incarnation{e.self.number.value() + 10};
+        e.protocol = claim_protocol{e.self, scenario_->limits, e.now};
+        e.alive = true;
+        seal(n);
+    }
+
+    void add_run_steps(std::vector<step>& all, int n) const
+    {
+        auto const& it = runs_[n];
+        if (it.state == run_state::orphaned)
+        {
+            all.push_back({step_kind::run_unobserved, n});
+            return;
+        }
+        if (it.state == run_state::decided)
+        {
+            all.push_back({step_kind::send, n});
+            add_if(all, scenario_->upstream_faults ? 1 : 0, {step_kind::give_up, n});
+            return;
+        }
+        all.push_back({step_kind::run_and_answer, n});
+        if (scenario_->upstream_faults)
+        {
+            all.push_back({step_kind::shed, n});
+            all.push_back({step_kind::shed_and_retry, n});
+            all.push_back({step_kind::break_connection, n});
+        }
+    }
+
+    void apply_run(step const& it)
+    {
+        auto const current = runs_[it.a];
+        auto const& submission = scenario_->submissions[current.submission];
+        auto& known = facts_[submission.id];
+        auto const number = local(current.submission);
+        auto const end = [&](run_result result)
+        {
+            known.told_not_run = known.told_not_run || result == run_result::not_run;
+            act(submission.entry, [&](entry& e, claim_actions& actions)
+                { e.protocol.on_result(number, result, upstream_status, e.now, actions); });
+        };
+        runs_.erase(runs_.begin() + it.a);
+        switch (it.kind)
+        {
+        case step_kind::send:
+        {
+            auto& e = change(submission.entry);
+            auto const allowed = e.protocol.may_send(number, e.now);
+            seal(submission.entry);
+            if (allowed)
+            {
+                runs_.push_back({current.submission, current.number, run_state::sent});
+                return;
+            }
+            end(run_result::not_run);
+            return;
+        }
+        case step_kind::run_and_answer:
+            ++known.runs;
+            end(run_result::ran);
+            return;
+        case step_kind::shed_and_retry:
+            change(submission.entry).protocol.on_attempt_not_run(number);
+            seal(submission.entry);
+            runs_.push_back({current.submission, current.number, run_state::decided});
+            return;
+        case step_kind::break_connection:
+            runs_.push_back({current.submission, current.number, run_state::orphaned});
+            end(run_result::unknown);
+            return;
+        case step_kind::run_unobserved:
+            ++known.runs;
+            return;
+        default:
+            end(run_result::not_run);
+            return;
+        }
+    }
+
+    scenario const* scenario_;
+    std::vector<std::shared_ptr<entry>> entries_;
+    std::vector<std::string> ids_;
+    std::vector<flight> flights_;
+    std::vector<run> runs_;
+    std::vector<fact> facts_;
+    std::vector<char> answers_;
+    std::vector<base::incarnation> submitted_at_;
+    bool answered_twice_ = false;
+    int left_[budget_count];
+};
+
+} // namespace fuchsiaproxy::requests::testing
+
+#endif
