Name the holder's incarnation in share_grant

A grant that is delivered late reaches whatever process the instance runs then. A restarted entry would take the grant of its predecessor, whose reservation the hub gives to others once the restart is known, so the sum of the shares could pass the cap. The field lets the receiver refuse it.

--- a/src/include/fuchsiaproxy/messages/messages.hpp
+++ b/src/include/fuchsiaproxy/messages/messages.hpp
@@ -155,6 +155,8 @@
 struct share_grant
 {
     base::cap_id cap;
+    /// Incarnation that the reservation belongs to; any other must ignore the grant.
+    base::incarnation holder;
     std::uint64_t amount = 0;
     /// Version of the stored reservations; older grants than the one in force are ignored.
     std::uint64_t revision = 0;
