Encode the holder of a share grant

Cause: the message gained a field that the codec did not know. Change: the codec writes and reads it. Conclusion: messages and codec agree.

--- a/src/peers/message_fields.hpp
+++ b/src/peers/message_fields.hpp
@@ -245,9 +245,18 @@
 };
 
 template <>
-struct fields_of<messages::share_grant> : reservation_fields
+struct fields_of<messages::share_grant>
 {
     static constexpr char const* name = "share_grant";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("cap", it.cap);
+        visit("holder", it.holder);
+        visit("amount", it.amount);
+        visit("revision", it.revision);
+    }
 };
 
 template <>
--- a/src/peers/message_samples.hpp
+++ b/src/peers/message_samples.hpp
@@ -43,7 +43,7 @@
         lend{11, upstream, 2, std::chrono::milliseconds(1500)},
         give_back{11, upstream, 2},
         share_request{cap, 100},
-        share_grant{cap, 80, 17},
+        share_grant{cap, base::incarnation(12), 80, 17},
         share_return{cap, 40, 18},
         leaving{upstream},
         counters{base::instance_id("e3"), base::incarnation(8), {counts, counts}}};
