--- a/src/callers/connection.cpp
+++ b/src/callers/connection.cpp
@@ -24,7 +24,7 @@
 // Closing a socket with unread input resets it, which can destroy the answer on its way. So input
 // is read and dropped until the caller closes, for at most this time and amount.
 constexpr auto linger_limit = std::chrono::seconds(1);
-constexpr std::size_t linger_bytes = 256 * 1024;
+constexpr std::size_t linger_bytes = 256UL * 1024;
 
 // A connection that was accepted just before a drain gets this long to send its first request.
 constexpr auto drain_grace = std::chrono::seconds(1);
@@ -379,11 +379,6 @@
     linger();
 }
 
-bool connection::body_done() const
-{
-    return reader_->done() && part_.empty();
-}
-
 void connection::check_caller()
 {
     char first = 0;
@@ -407,131 +402,6 @@
     on_gone();
 }
 
-void connection::on_body_input()
-{
-    bool broken = false;
-    if (fill(broken) == 0)
-    {
-        if (broken)
-        {
-            on_gone();
-            return;
-        }
-        arm();
-        return;
-    }
-    awaits_body_ = false;
-    limit_at_ = base::time_point::max();
-    core_->handler.body_ready(exchange_->head().id);
-}
-
-body_read connection::body_failure(base::error_kind kind)
-{
-    if (!std::exchange(body_failed_, true))
-    {
-        count(kind);
-        body_error_ = kind;
-        close_after_ = true;
-        part_ = {};
-    }
-    return body_read{0, body_state::failed, body_error_};
-}
-
-std::size_t connection::copy_body(char* to, std::size_t size)
-{
-    auto const n = std::min(size, part_.size());
-    std::memcpy(to, part_.data(), n);
-    part_.remove_prefix(n);
-    return n;
-}
-
-/// Unframes the next part of the body. Returns false when more input is needed.
-bool connection::step_body()
-{
-    auto const input = std::string_view(buffer_.data() + begin_, end_ - begin_);
-    auto const step = reader_->next(input);
-    begin_ += static_cast<std::uint32_t>(step.used);
-    part_ = step.data;
-    body_bytes_ += part_.size();
-    auto const stuck = step.used == 0 && input.size() == http::buffer_bytes;
-    if (step.malformed || stuck)
-    {
-        body_failure(base::error_kind::bad_request);
-    }
-    else if (body_bytes_ > core_->settings.max_body_bytes)
-    {
-        body_failure(base::error_kind::request_too_large);
-    }
-    return step.used > 0;
-}
-
-body_read connection::read_body(char* to, std::size_t size)
-{
-    std::size_t copied = 0;
-    bool may_fill = true;
-    while (!body_failed_ && !body_done())
-    {
-        if (!part_.empty())
-        {
-            if (copied == size)
-            {
-                return body_read{copied, body_state::open};
-            }
-            copied += copy_body(to + copied, size - copied);
-            continue;
-        }
-        if (begin_ < end_ && step_body())
-        {
-            continue;
-        }
-        bool broken = false;
-        if (body_failed_ || (may_fill && fill(broken) > 0))
-        {
-            continue;
-        }
-        may_fill = false;
-        if (broken)
-        {
-            post_gone();
-            return body_read{copied, copied > 0 ? body_state::open : body_state::pending};
-        }
-        if (copied > 0)
-        {
-            return body_read{copied, body_state::open};
-        }
-        send_continue();
-        awaits_body_ = true;
-        limit_at_ = core_->timers.now() + core_->settings.body_idle_limit;
-        arm();
-        return body_read{0, body_state::pending};
-    }
-    if (body_failed_)
-    {
-        return body_read{0, body_state::failed, body_error_};
-    }
-    if (begin_ == end_)
-    {
-        buffer_.release();
-        arm();
-    }
-    return body_read{copied, body_state::end};
-}
-
-void connection::send_continue()
-{
-    if (!std::exchange(expects_continue_, false) || head_written_)
-    {
-        return;
-    }
-    constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
-    error_code ec;
-    auto const n = socket_.write_some(asio::buffer(text.data(), text.size()), ec);
-    if (ec || n != text.size())
-    {
-        post_gone();
-    }
-}
-
 void connection::post_gone()
 {
     if (!std::exchange(gone_posted_, true))
--- a/src/include/fuchsiaproxy/callers/server.hpp
+++ b/src/include/fuchsiaproxy/callers/server.hpp
@@ -32,7 +32,7 @@
     base::duration body_idle_limit = std::chrono::seconds(10);
     /// Longest time between two requests on a connection.
     base::duration keep_alive_limit = std::chrono::seconds(60);
-    std::uint64_t max_body_bytes = 64 * 1024 * 1024;
+    std::uint64_t max_body_bytes = 64UL * 1024 * 1024;
     /// Treats a caller that has closed its sending side as gone, as most proxies do: a closed
     /// socket looks the same, and the work for it would be wasted. If false, a request that was
     /// complete before is still answered.
--- a/src/include/fuchsiaproxy/http/buffer_pool.hpp
+++ b/src/include/fuchsiaproxy/http/buffer_pool.hpp
@@ -9,7 +9,7 @@
 {
 
 /// Size of one pooled buffer; also the limit of a message head, which has to fit into one buffer.
-constexpr std::size_t buffer_bytes = 16 * 1024;
+constexpr std::size_t buffer_bytes = 16UL * 1024;
 
 class buffer_pool;
 
--- a/src/relay/relay_bench.cpp
+++ b/src/relay/relay_bench.cpp
@@ -481,6 +481,7 @@
     upstream far(true);
     entry near(far.port());
     std::vector<caller> callers;
+    callers.reserve(throughput_connections);
     for (int n = 0; n < throughput_connections; ++n)
     {
         callers.emplace_back(near.port());
--- a/src/relay/request_body.hpp
+++ b/src/relay/request_body.hpp
@@ -14,7 +14,7 @@
 
 /// Bytes of a request's body that are kept; a request with a larger body is streamed and cannot
 /// be attempted again once its first bytes were dropped.
-constexpr std::size_t kept_body_bytes = 64 * 1024;
+constexpr std::size_t kept_body_bytes = 64UL * 1024;
 static_assert(kept_body_bytes % http::buffer_bytes == 0);
 
 /// The part of a request's body that is kept in memory: from its first byte, or from the first
