--- /dev/null
+++ b/src/relay/relay_faults_test.cpp
@@ -0,0 +1,319 @@
+#include "relay_fixture.hpp"
+
+#include <map>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::relay;
+using base::attempt_result;
+using testing::raw_peer;
+
+namespace
+{
+
+constexpr int steps = 3000;
+constexpr std::size_t caller_count = 6;
+
+/// A caller's request and what came of it.
+struct sent_request
+{
+    std::string token;
+    bool order = false;
+    int runs = 0;
+    bool complete = false;
+    bool told_not_run = false;
+};
+
+/// Splits a complete answer off `text`. Returns false if there is none yet.
+bool take_answer(std::string& text, std::string& head, std::string& body)
+{
+    auto const end = text.find("\r\n\r\n");
+    if (end == std::string::npos)
+    {
+        return false;
+    }
+    auto const first = end + 4;
+    auto const length = text.find("Content-Length: ");
+    if (length < end)
+    {
+        auto const size = std::stoul(text.substr(length + 16));
+        if (text.size() < first + size)
+        {
+            return false;
+        }
+        body = text.substr(first, size);
+        head = text.substr(0, first);
+        text.erase(0, first + size);
+        return true;
+    }
+    body.clear();
+    for (auto at = first; text.find("\r\n", at) != std::string::npos;)
+    {
+        auto const size = std::stoul(text.substr(at), nullptr, 16);
+        auto const data = text.find("\r\n", at) + 2;
+        if (text.size() < data + size + 2)
+        {
+            return false;
+        }
+        body += text.substr(data, size);
+        at = data + size + 2;
+        if (size == 0)
+        {
+            head = text.substr(0, first);
+            text.erase(0, at);
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Callers, decisions and an upstream that misbehave at random, under one seed.
+struct faulty_world
+{
+    explicit faulty_world(unsigned seed) : random(seed)
+    {
+        path.events.on_request = [this](callers::request_head const& head)
+        { decide(head.id, head.method == "POST"); };
+        callers.resize(caller_count);
+    }
+
+    unsigned pick(unsigned bound)
+    {
+        return std::uniform_int_distribution<unsigned>(0, bound - 1)(random);
+    }
+
+    void decide(base::local_request_id request, bool order)
+    {
+        auto const id = path.attempt(request, path.upstream.at(), !order);
+        attempts[id] = {request, order};
+        if (!order && pick(4) == 0)
+        {
+            attempts[path.attempt(request, path.upstream.at(), true)] = {request, false};
+        }
+    }
+
+    /// Acts on the attempts that ended since the last call.
+    void decide_on_ends()
+    {
+        for (; ends_seen < path.events.finished.size(); ++ends_seen)
+        {
+            auto const it = path.events.finished[ends_seen];
+            auto const [request, order] = attempts[it.id];
+            auto const result = it.report.result;
+            auto const not_run = result == attempt_result::shed ||
+                                 result == attempt_result::not_sent ||
+                                 result == attempt_result::connect_failed;
+            if (not_run && path.mover.can_attempt(request) && pick(2) == 0)
+            {
+                decide(request, order);
+            }
+            else if (result != attempt_result::completed)
+            {
+                path.mover.answer_error(request, order && not_run
+                                                     ? base::error_kind::overloaded
+                                                     : base::error_kind::upstream_failed);
+            }
+        }
+    }
+
+    /// Serves or spoils the requests that reached the upstream.
+    void serve()
+    {
+        for (auto const& peer : path.upstream.peers)
+        {
+            auto const text = peer->text();
+            auto const end = text.find("\r\n\r\n");
+            auto const begin = text.find("/s/t");
+            if (end == std::string::npos || peer->ended() || pick(3) == 0)
+            {
+                continue;
+            }
+            auto const token = text.substr(begin + 3, text.find(' ', begin) - begin - 3);
+            auto& request = requests[token];
+            if (request.order && text.find(token, end) == std::string::npos)
+            {
+                continue; // The body is still on its way.
+            }
+            peer->clear();
+            answer(*peer, request);
+        }
+    }
+
+    void answer(raw_peer& peer, sent_request& request)
+    {
+        std::string body;
+        for (auto n = pick(pick(2) == 0 ? 5 : 5000); n > 0; --n)
+        {
+            body += request.token + ";";
+        }
+        auto text = answer_200(body);
+        if (pick(2) == 0)
+        {
+            text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            for (std::size_t at = 0; at < body.size();)
+            {
+                auto const part = body.substr(at, 1 + pick(9000));
+                http::append_chunk_header(text, part.size());
+                text += part + "\r\n";
+                at += part.size();
+            }
+            text += "0\r\n\r\n";
+        }
+        switch (pick(8))
+        {
+        case 0:
+            peer.send("HTTP/1.1 503 Busy\r\nShed: 1\r\nContent-Length: 1\r\n\r\nx");
+            return;
+        case 1:
+            ++request.runs;
+            pick(2) == 0 ? peer.close() : peer.reset();
+            return;
+        case 2:
+            ++request.runs;
+            peer.send(text.substr(0, pick(static_cast<unsigned>(text.size()))));
+            peer.half_close();
+            return;
+        case 3:
+            ++request.runs; // Silent; the deadline or a cancel ends it.
+            return;
+        case 4:
+            ++request.runs;
+            peer.send(text + answer_200("unasked"));
+            return;
+        default:
+            ++request.runs;
+            peer.send(text);
+        }
+    }
+
+    void call(std::size_t n)
+    {
+        auto& it = callers[n];
+        if (!it.peer || it.peer->ended())
+        {
+            it.peer = std::make_unique<raw_peer>(path.io, path.port);
+            it.token.clear();
+            it.text.clear();
+        }
+        if (it.token.empty())
+        {
+            it.token = "t" + std::to_string(++last_token);
+            auto& request = requests[it.token];
+            request.token = it.token;
+            request.order = pick(2) == 0;
+            it.peer->send(request.order ? "POST /s/" + it.token + " HTTP/1.1\r\nHost: h\r\n" +
+                                              "Content-Length: " + std::to_string(it.token.size()) +
+                                              "\r\n\r\n" + it.token
+                                        : get("/s/" + it.token));
+        }
+        else if (pick(60) == 0)
+        {
+            it.peer.reset();
+        }
+    }
+
+    void check(std::size_t n)
+    {
+        auto& it = callers[n];
+        if (!it.peer || it.token.empty())
+        {
+            return;
+        }
+        it.text += it.peer->text();
+        it.peer->clear();
+        std::string head;
+        std::string body;
+        if (!take_answer(it.text, head, body))
+        {
+            return;
+        }
+        CHECK_EQUAL(std::string(), it.text); // Nothing follows the answer to the only request.
+        auto& request = requests[it.token];
+        request.complete = true;
+        request.told_not_run = head.find("Request-Outcome: not-run") != std::string::npos;
+        if (head.find("Request-Outcome: run") != std::string::npos)
+        {
+            ++passed_on;
+            auto const unit = it.token + ";";
+            CHECK_EQUAL(0, body.size() % unit.size());
+            for (std::size_t at = 0; at < body.size(); at += unit.size())
+            {
+                CHECK(body.compare(at, unit.size(), unit) == 0);
+            }
+        }
+        it.token.clear();
+    }
+
+    void step()
+    {
+        auto const n = pick(caller_count);
+        call(n);
+        path.io.restart();
+        path.io.poll();
+        serve();
+        path.io.restart();
+        path.io.poll();
+        decide_on_ends();
+        for (std::size_t it = 0; it < caller_count; ++it)
+        {
+            check(it);
+        }
+        path.timers.advance(std::chrono::milliseconds(pick(40)));
+    }
+
+    struct caller_state
+    {
+        std::unique_ptr<raw_peer> peer;
+        std::string token;
+        std::string text;
+    };
+
+    std::mt19937 random;
+    data_path path;
+    std::vector<caller_state> callers;
+    std::map<std::string, sent_request> requests;
+    std::map<base::attempt_id, std::pair<base::local_request_id, bool>> attempts;
+    std::size_t ends_seen = 0;
+    int last_token = 0;
+    int passed_on = 0;
+};
+
+} // namespace
+
+TEST_GROUP(relay_faults){};
+
+// Guards, under random faults of callers and upstreams, against answers that reach another request
+// or are cut without notice (I3), "not run" for an order that ran (I4), orders that run twice (I5),
+// attempts that are reported twice or never, and buffers that are never released.
+TEST(relay_faults, answers_are_whole_and_orders_run_at_most_once)
+{
+    for (unsigned const seed : {1U, 2U, 3U, 4U})
+    {
+        faulty_world world(seed);
+        for (int n = 0; n < steps; ++n)
+        {
+            world.step();
+        }
+        for (auto& it : world.callers)
+        {
+            it.peer.reset();
+        }
+        CHECK(world.path.until(
+            [&]()
+            {
+                world.path.timers.advance(std::chrono::milliseconds(100));
+                world.decide_on_ends();
+                return world.path.mover.requests() == 0 &&
+                       world.path.events.finished.size() == world.attempts.size();
+            }));
+        LONGS_EQUAL(0, world.path.buffers.in_use());
+        CHECK(world.passed_on > steps / 20);
+        for (auto const& it : world.requests)
+        {
+            CHECK(!it.second.order || it.second.runs <= 1);
+            CHECK(!it.second.order || !it.second.told_not_run || it.second.runs == 0);
+        }
+    }
+}
