--- /dev/null
+++ b/src/fuchsiactl/command_line.hpp
@@ -0,0 +1,39 @@
+#ifndef FUCHSIAPROXY_FUCHSIACTL_COMMAND_LINE_HPP
+#define FUCHSIAPROXY_FUCHSIACTL_COMMAND_LINE_HPP
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "fuchsiaproxy/base/error.hpp"
+
+namespace fuchsiaproxy::fuchsiactl
+{
+
+/// Options of the program, from the command line or else from the environment.
+struct options
+{
+    std::string entry;
+    std::string id;
+    std::string key_file;
+    std::string new_key_file;
+    std::string command_id;
+    std::chrono::milliseconds timeout{};
+    bool json = false;
+    bool help = false;
+    /// Commands to execute; empty to read them from standard input.
+    std::string commands;
+    std::string help_text;
+};
+
+/// Reads the options. Fails with `invalid_command`.
+base::result<options> parse_command_line(int argc, char const* const* argv);
+
+/// Reads a key: the first line of `file`, else of the variable `variable`, else from the terminal
+/// after `prompt` and without echo. Fails with `invalid_command` if none of them has one.
+base::result<std::string> read_key(std::string const& file, char const* variable,
+                                   std::string const& prompt);
+
+} // namespace fuchsiaproxy::fuchsiactl
+
+#endif
--- /dev/null
+++ b/src/fuchsiactl/interactive.hpp
@@ -0,0 +1,15 @@
+#ifndef FUCHSIAPROXY_FUCHSIACTL_INTERACTIVE_HPP
+#define FUCHSIAPROXY_FUCHSIACTL_INTERACTIVE_HPP
+
+#include "fuchsiaproxy/operators/console.hpp"
+
+namespace fuchsiaproxy::fuchsiactl
+{
+
+/// Reads commands from the terminal, with history and completion, until its end. Returns the exit
+/// code of the last command.
+int run_interactively(operators::console& console);
+
+} // namespace fuchsiaproxy::fuchsiactl
+
+#endif
--- a/src/include/fuchsiaproxy/model/apply_change.hpp
+++ b/src/include/fuchsiaproxy/model/apply_change.hpp
@@ -54,7 +54,9 @@
 /// Returns the conflict that a command against `base_version` meets at `head`. Thread safe.
 base::error conflict_with(manifest const& head, base::config_version base_version);
 
-/// Returns the hash that identifies the content of `command`. Thread safe.
+/// Returns the hash that identifies the content of `command`: its operator and its changes. The
+/// base version is left out, so that an operator may repeat a command after reading a newer
+/// version. Thread safe.
 std::string content_hash(change_command const& command);
 
 } // namespace fuchsiaproxy::model
--- a/src/operators/fixture_test.hpp
+++ b/src/operators/fixture_test.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fuchsiaproxy/operators/authentication.hpp"
@@ -181,11 +182,14 @@
     service.bootstrap(two_members(), command_of("begin", "one", 0, {}), [](auto const&) {});
 }
 
+/// Reads without faults.
 inline current_configuration read(fake_store& store)
 {
+    auto faults = std::exchange(store.head_reads, {});
     configuration_service service(store);
     current_configuration out;
     service.read([&out](auto it) { out = it.value(); });
+    store.head_reads = std::move(faults);
     return out;
 }
 
