Add the codec of the messages between entries and the peer network

Messages are CBOR maps whose fields are described once for both directions. It accepts types that no message uses now, so that a later version is refused without closing the link.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -20,12 +20,13 @@
   BOOST_ALLOW_DEPRECATED_HEADERS BOOST_ERROR_CODE_HEADER_ONLY BOOST_BIND_GLOBAL_PLACEHOLDERS)
 target_link_libraries(fuchsiaproxy_options INTERFACE Threads::Threads)
 
-# fuchsiaproxy_package(NAME [LIBRARIES lib...])
+# fuchsiaproxy_package(NAME [LIBRARIES lib...] [TEST_LIBRARIES lib...])
 #
 # Builds fuchsiaproxy_NAME from src/NAME/*.cpp and, from src/NAME/*_test.cpp, one test program
-# NAME_test, each test group of which is registered with ctest.
+# NAME_test, each test group of which is registered with ctest. TEST_LIBRARIES are linked to the test
+# program only.
 function(fuchsiaproxy_package name)
-  cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
   set(tests ${sources})
   list(FILTER sources EXCLUDE REGEX "_(test|bench)\\.cpp$")
@@ -39,7 +40,7 @@
   endif()
   add_library(fuchsiaproxy::${name} ALIAS fuchsiaproxy_${name})
   if(tests)
-    fuchsiaproxy_tests(${name}_test SOURCES ${tests} LIBRARIES fuchsiaproxy_${name})
+    fuchsiaproxy_tests(${name}_test SOURCES ${tests} LIBRARIES fuchsiaproxy_${name} ${ARG_TEST_LIBRARIES})
   endif()
 endfunction()
 
--- /dev/null
+++ b/src/include/fuchsiaproxy/peers/codec.hpp
@@ -0,0 +1,38 @@
+#ifndef FUCHSIAPROXY_PEERS_CODEC_HPP
+#define FUCHSIAPROXY_PEERS_CODEC_HPP
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/messages/messages.hpp"
+
+namespace fuchsiaproxy::peers
+{
+
+/// Version of the messages that this build sends and understands.
+constexpr unsigned message_version = 1;
+/// Largest message; a configuration of 1 MB fits.
+constexpr std::size_t max_message_bytes = 2'000'000;
+/// Number of message types.
+constexpr std::size_t message_type_count = std::variant_size_v<messages::message>;
+
+/// Returns the name of the message type with index `type` of the variant. Precondition:
+/// `type < message_type_count`. Thread safe.
+std::string_view type_name(std::size_t type) noexcept;
+
+/// Encodes a message as a CBOR map with `v`, `type`, `from`, `incarnation`, `seq` and `body`.
+/// Fails with `value_too_large` beyond `max_message_bytes`, and with `bad_message` when a text is
+/// not UTF-8 or a duration is negative. Thread safe.
+base::result<std::string> encode(messages::envelope const& envelope);
+
+/// Decodes a message from any bytes. Fails with `unsupported_version` for another version or an
+/// unknown type, and with `bad_message` for anything else that `encode` would not write. Thread
+/// safe.
+base::result<messages::envelope> decode(std::string_view bytes);
+
+} // namespace fuchsiaproxy::peers
+
+#endif
--- /dev/null
+++ b/src/peers/message_fields.hpp
@@ -0,0 +1,284 @@
+#ifndef FUCHSIAPROXY_PEERS_MESSAGE_FIELDS_HPP
+#define FUCHSIAPROXY_PEERS_MESSAGE_FIELDS_HPP
+
+#include "fuchsiaproxy/messages/messages.hpp"
+
+namespace fuchsiaproxy::peers
+{
+
+/// Names and members of a message type, used for both directions. `visit` is called with each name
+/// and member; `T` is `M` or `M const`.
+template <class M>
+struct fields_of;
+
+template <>
+struct fields_of<messages::entry_info>
+{
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("id", it.id);
+        visit("incarnation", it.incarnation);
+        visit("region", it.region);
+        visit("zone", it.zone);
+        visit("caller_address", it.caller_address);
+        visit("peer_address", it.peer_address);
+        visit("draining", it.draining);
+        visit("version", it.version);
+        visit("witness", it.witness);
+        visit("witness_incarnation", it.witness_incarnation);
+        visit("generation", it.generation);
+        visit("load_permille", it.load_permille);
+    }
+};
+
+template <>
+struct fields_of<messages::class_counts>
+{
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("service", it.service);
+        visit("request_class", it.request_class);
+        visit("total", it.total);
+        visit("on_time", it.on_time);
+        visit("weight_total", it.weight_total);
+        visit("weight_on_time", it.weight_on_time);
+    }
+};
+
+template <>
+struct fields_of<messages::heartbeat>
+{
+    static constexpr char const* name = "heartbeat";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("self", it.self);
+    }
+};
+
+template <>
+struct fields_of<messages::pull>
+{
+    static constexpr char const* name = "pull";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("version", it.version);
+        visit("sent_at_ns", it.sent_at_ns);
+    }
+};
+
+template <>
+struct fields_of<messages::digest>
+{
+    static constexpr char const* name = "digest";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("version", it.version);
+        visit("echo_sent_at_ns", it.echo_sent_at_ns);
+        visit("entries", it.entries);
+        visit("leaving", it.leaving);
+    }
+};
+
+template <>
+struct fields_of<messages::config_push>
+{
+    static constexpr char const* name = "config_push";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("version", it.version);
+        visit("document", it.document);
+    }
+};
+
+template <>
+struct fields_of<messages::config_fetch>
+{
+    static constexpr char const* name = "config_fetch";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("version", it.version);
+    }
+};
+
+/// Messages that consist of a request id.
+struct request_id_fields
+{
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("request_id", it.request_id);
+    }
+};
+
+template <>
+struct fields_of<messages::claim> : request_id_fields
+{
+    static constexpr char const* name = "claim";
+};
+
+template <>
+struct fields_of<messages::grant> : request_id_fields
+{
+    static constexpr char const* name = "grant";
+};
+
+template <>
+struct fields_of<messages::deny> : request_id_fields
+{
+    static constexpr char const* name = "deny";
+};
+
+template <>
+struct fields_of<messages::done>
+{
+    static constexpr char const* name = "done";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("request_id", it.request_id);
+        visit("status", it.status);
+    }
+};
+
+template <>
+struct fields_of<messages::resolve> : request_id_fields
+{
+    static constexpr char const* name = "resolve";
+};
+
+template <>
+struct fields_of<messages::resolution>
+{
+    static constexpr char const* name = "resolution";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("request_id", it.request_id);
+        visit("state", it.state);
+        visit("status", it.status);
+    }
+};
+
+template <>
+struct fields_of<messages::borrow>
+{
+    static constexpr char const* name = "borrow";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("number", it.number);
+        visit("service", it.service);
+        visit("slots", it.slots);
+    }
+};
+
+template <>
+struct fields_of<messages::lend>
+{
+    static constexpr char const* name = "lend";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("number", it.number);
+        visit("upstream", it.upstream);
+        visit("slots", it.slots);
+        visit("valid_for", it.valid_for);
+    }
+};
+
+template <>
+struct fields_of<messages::give_back>
+{
+    static constexpr char const* name = "give_back";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("number", it.number);
+        visit("upstream", it.upstream);
+        visit("slots", it.slots);
+    }
+};
+
+template <>
+struct fields_of<messages::share_request>
+{
+    static constexpr char const* name = "share_request";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("cap", it.cap);
+        visit("amount", it.amount);
+    }
+};
+
+/// Messages that state a reservation with its revision.
+struct reservation_fields
+{
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("cap", it.cap);
+        visit("amount", it.amount);
+        visit("revision", it.revision);
+    }
+};
+
+template <>
+struct fields_of<messages::share_grant> : reservation_fields
+{
+    static constexpr char const* name = "share_grant";
+};
+
+template <>
+struct fields_of<messages::share_return> : reservation_fields
+{
+    static constexpr char const* name = "share_return";
+};
+
+template <>
+struct fields_of<messages::leaving>
+{
+    static constexpr char const* name = "leaving";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("upstream", it.upstream);
+    }
+};
+
+template <>
+struct fields_of<messages::counters>
+{
+    static constexpr char const* name = "counters";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("owner", it.owner);
+        visit("owner_incarnation", it.owner_incarnation);
+        visit("counts", it.counts);
+    }
+};
+
+} // namespace fuchsiaproxy::peers
+
+#endif
