--- a/src/peers/codec_test.cpp
+++ b/src/peers/codec_test.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cbor_structure.hpp"
 #include "message_samples.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -160,6 +161,15 @@
     }
 }
 
+// Guards against a depth that only the reader's stack limits.
+TEST(codec, depth_is_limited_before_the_reader_runs)
+{
+    CHECK(peers::check_structure(deep(8)).has_value());
+    auto const too_deep = peers::check_structure(deep(9));
+    CHECK(!too_deep.has_value());
+    STRCMP_CONTAINS("too deep", too_deep.error().message.c_str());
+}
+
 // Guards against a message that the receiver would take as broken and close the link for.
 TEST(codec, unsendable_messages_are_refused)
 {
--- a/src/peers/peer_network.cpp
+++ b/src/peers/peer_network.cpp
@@ -436,7 +436,8 @@
         }
     }
 
-    /// Tells the owner when the state of the links to an instance changed.
+    /// Tells the owner when the state of the links to an instance changed. The caller keeps
+    /// `instance` alive, also when a handler forgets it.
     void report(instance_id const& instance)
     {
         auto const it = peers_.find(instance);
@@ -446,13 +447,12 @@
         }
         auto& peer = it->second;
         auto const link = usable_link(peer);
-        auto const id = instance;
         if (!link)
         {
             bool const was_up = std::exchange(peer.reported_up, false);
             if (was_up && handlers_.on_link_down)
             {
-                handlers_.on_link_down(id);
+                handlers_.on_link_down(instance);
             }
             return;
         }
@@ -462,7 +462,7 @@
         peer.reported_incarnation = newest;
         if (!same && handlers_.on_link_up)
         {
-            handlers_.on_link_up(id, newest);
+            handlers_.on_link_up(instance, newest);
         }
     }
 
