--- a/scripts/loopback/deployment.py
+++ b/scripts/loopback/deployment.py
@@ -13,7 +13,8 @@
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 ENTRIES_PER_ZONE = 2
 PEER_SECRET = "demo-secret-of-the-loopback-setup"
-OPERATOR = {"varjuvork": "ilme:ilme-demo-key", "pamplemousses": "devi:devi-demo-key"}
+# Operators of the examples with their keys, which open nothing but a demo on loopback.
+OPERATOR = {"varjuvork": ("ilme", "varjuvork-demo-key"), "pamplemousses": ("anjali", "pamplemousses-demo-key")}
 # Service time of the stand-ins, in milliseconds; long enough that work is in flight at each kill.
 SERVICE_TIME_MS = 20
 
@@ -161,9 +162,11 @@
     def control(self, *arguments):
         """Runs fuchsiactl against one entry and returns its output."""
         first = next(iter(self.entries.values()))
-        command = [self.program("fuchsiactl"), "--api", first["operators"],
-                   "--user", OPERATOR[self.name], *arguments]
-        done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+        operator, key = OPERATOR[self.name]
+        command = [self.program("fuchsiactl"), "--entry", first["operators"],
+                   "--operator", operator, *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False,
+                              env={**os.environ, "FUCHSIACTL_KEY": key})
         if done.returncode != 0:
             raise RuntimeError(" ".join(command) + ": " + done.stderr)
         return done.stdout
