Add the failure runs with real processes

Cause: promises under kills, freezes, outages and races of operators have to be shown on the processes themselves.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 
 demo: build
 	scripts/demo --build $(BUILD) --deployment $(DEPLOYMENT) $(if $(HOLD),--hold)
+
+# Real-process failures on loopback; SEED and DEPLOYMENT choose others than the defaults.
+prove: build
+	scripts/prove --build $(BUILD) --seed $(or $(SEED),1)
--- a/scripts/loopback/deployment.py
+++ b/scripts/loopback/deployment.py
@@ -1,5 +1,6 @@
 """Runs a deployment of examples/ as processes on loopback, for the demo and the failure runs."""
 
+import base64
 import glob
 import json
 import os
@@ -80,7 +81,7 @@
 class Deployment:
     """One of the folders below examples/, running on loopback."""
 
-    def __init__(self, name, build, folder, seed):
+    def __init__(self, name, build, folder, seed, store_behind_relay=False):
         self.name = name
         self.declarations = os.path.join(REPOSITORY, "examples", name)
         self.bin = os.path.join(build, "src")
@@ -93,7 +94,12 @@
         self.services = self.read("services.json")["services"]
         self.entries = {}
         self.store = ""
+        self.store_for_entries = ""
+        self.relay_control = ""
+        self.store_behind_relay = store_behind_relay
+        self.list_lag_s = 0.0
         self.upstreams = ""
+        self.upstream_specs = []
 
     def read(self, name):
         with open(os.path.join(self.declarations, name), encoding="utf-8") as file:
@@ -106,12 +112,21 @@
         started = json.loads(self.processes.start(
             "store", [self.program("fuchsiastandin"), "store", "--listen", "127.0.0.1:0"]))
         self.store = started["store"]
+        self.store_for_entries = self.store
+        if self.store_behind_relay:
+            self.start_relay()
         self.start_upstreams()
         self.start_entries()
         self.bootstrap()
         for name, it in self.entries.items():
             wait_until(lambda it=it: self.is_ready(it), "entry " + name + " to be ready")
 
+    def start_relay(self):
+        started = json.loads(self.processes.start(
+            "relay", [self.program("fuchsiastandin"), "relay", "--server", self.store]))
+        self.store_for_entries = started["relay"]
+        self.relay_control = started["control"]
+
     def start_upstreams(self):
         specs = []
         for place in self.places:
@@ -127,6 +142,7 @@
                                            "--seed", str(self.seed)])
         self.upstreams = specs[0]["listen"]
         self.upstream_specs = specs
+        http("POST", f"http://{self.store}/control/lag", {"ms": 0})
 
     def register(self, name, role, address, state="live"):
         http("PUT", f"http://{self.store}/v1/instances/{name}",
@@ -141,7 +157,7 @@
         callers, peers, operators = ports or free_ports(3)
         it = {"callers": f"127.0.0.1:{callers}", "peers": f"127.0.0.1:{peers}",
               "operators": f"127.0.0.1:{operators}", "zone": zone["id"]}
-        host, port = self.store.split(":")
+        host, port = self.store_for_entries.split(":")
         platform = {"address": host, "port": int(port)}
         settings = {
             "instance": {"id": name, "region": zone["region"], "zone": zone["id"]},
@@ -159,9 +175,71 @@
                              wait_for_line=False)
         self.entries[name] = it
 
-    def control(self, *arguments):
+    def restart_entry(self, name, number=None):
+        """Starts an entry again from nothing, after ending it by the signal if one is given."""
+        if number is not None:
+            self.processes.signal(name, number)
+        self.processes.wait(name, timeout=60)
+        it = self.entries[name]
+        zone = next(zone for zone in self.zones if zone["id"] == it["zone"])
+        ports = [int(it[key].split(":")[1]) for key in ("callers", "peers", "operators")]
+        self.start_entry(name, zone, ports)
+
+    def versions(self, skip=()):
+        """Returns the version in force on each entry that answers; 0 where there is none."""
+        found = {}
+        for name, it in self.entries.items():
+            if name in skip:
+                continue
+            try:
+                text = http("GET", f"http://{it['operators']}/metrics")
+            except (urllib.error.URLError, ConnectionError, TimeoutError):
+                continue
+            lines = [line for line in text.splitlines()
+                     if line.startswith("fuchsiaproxy_configuration_version ")]
+            found[name] = int(float(lines[0].split()[1])) if lines else 0
+        return found
+
+    def wait_for_version(self, version, skip, timeout):
+        """Waits until all entries have a version; returns whether they did within the time."""
+        end = time.monotonic() + timeout
+        wanted = len(self.entries) - len(skip)
+        while time.monotonic() < end:
+            found = self.versions(skip)
+            if len(found) == wanted and min(found.values()) >= version:
+                return True
+            time.sleep(0.02)
+        return False
+
+    def post_change(self, entry, base_version, command, place):
+        """Drains a place by the operators' API; returns status and text."""
+        operator, key = OPERATOR[self.name]
+        organisation = self.read("members.json")["members"][0]["id"]
+        body = {"command": command, "base_version": base_version,
+                "changes": [{"put": {"drain": {"id": "drain-" + place, "organisation": organisation,
+                                               "place": place}}}]}
+        request = urllib.request.Request(f"http://{entry['operators']}/v1/changes",
+                                         data=json.dumps(body).encode(), method="POST")
+        token = base64.b64encode(f"{operator}:{key}".encode()).decode()
+        request.add_header("Authorization", "Basic " + token)
+        try:
+            with urllib.request.urlopen(request, timeout=10) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as failed:
+            return failed.code, failed.read().decode()
+
+    def control_until_done(self, *arguments):
+        """Runs fuchsiactl until it succeeds; silent connections may fail the first call."""
+        for _ in range(5):
+            try:
+                return self.control(*arguments)
+            except RuntimeError:
+                continue
+        raise RuntimeError("fuchsiactl failed five times: " + " ".join(arguments))
+
+    def control(self, *arguments, skip=()):
         """Runs fuchsiactl against one entry and returns its output."""
-        first = next(iter(self.entries.values()))
+        first = next(it for name, it in self.entries.items() if name not in skip)
         operator, key = OPERATOR[self.name]
         command = [self.program("fuchsiactl"), "--entry", first["operators"],
                    "--operator", operator, *arguments]
--- /dev/null
+++ b/scripts/loopback/scenarios.py
@@ -0,0 +1,248 @@
+"""Failures brought about on a running deployment, and what each promise came to."""
+
+import json
+import random
+import signal
+import threading
+import time
+
+from .deployment import check_orders, http, ordered_service, wait_until
+
+# The promise is 3 s; reading the counters takes two round trips on loopback.
+LEAVING_LIMIT_S = 3.0
+CONFIGURATION_LIMIT_S = 4.0
+
+
+class Tally:
+    """Trials, faults brought about and violations of one promise."""
+
+    def __init__(self):
+        self.rows = {}
+
+    def add(self, promise, trials=0, faults=0, violations=0, note=""):
+        row = self.rows.setdefault(promise, {"trials": 0, "faults": 0, "violations": 0, "notes": []})
+        row["trials"] += trials
+        row["faults"] += faults
+        row["violations"] += violations
+        if note:
+            row["notes"].append(note)
+
+    def print(self):
+        print(f"{'promise':42}{'trials':>9}{'faults':>9}{'violations':>12}")
+        for promise, row in self.rows.items():
+            print(f"{promise:42}{row['trials']:>9}{row['faults']:>9}{row['violations']:>12}")
+            for note in row["notes"]:
+                print("    " + note)
+
+    def violations(self):
+        return sum(row["violations"] for row in self.rows.values())
+
+
+class Load:
+    """Callers in every zone for a while."""
+
+    def __init__(self, deployment, label, seconds, rate, seed):
+        self.deployment = deployment
+        self.names = []
+        self.reports = []
+        service = ordered_service(deployment)
+        for number, zone in enumerate(deployment.zones):
+            name = f"{label}-{zone['id']}"
+            self.names.append(name)
+            self.reports.append(deployment.start_caller(name, zone["id"], service, rate,
+                                                        int(rate * seconds), seed + number))
+        self.seconds = seconds
+
+    def finish(self):
+        for name in self.names:
+            self.deployment.processes.wait(name, timeout=self.seconds + 90)
+        return [json.load(open(path, encoding="utf-8")) for path in self.reports]
+
+
+def count_requests(deployment, tally, reports, faults):
+    """Judges the promises about requests that every scenario has in common."""
+    runs = http("GET", f"http://{deployment.upstreams}/control/runs")["ids"]
+    twice, lost, false_not_run = check_orders(reports, runs)
+    orders = sum(report["orders"]["sent"] for report in reports)
+    told = sum(report["orders"]["not_run"] for report in reports)
+    sent = orders + sum(report["lookups"]["sent"] for report in reports)
+    wrong = sum(report[kind]["wrong"] for report in reports for kind in ("lookups", "orders"))
+    tally.add("an order runs at most once", orders, faults, len(twice), " ".join(twice[:3]))
+    tally.add("no order told as run is lost", orders, faults, len(lost), " ".join(lost[:3]))
+    tally.add("not-run is told only of orders that never run", told, faults, len(false_not_run),
+              " ".join(false_not_run[:3]))
+    tally.add("each answer is whole and the caller's own", sent, faults, wrong)
+
+
+def unknown_of(reports):
+    return sum(report[kind]["unknown"] + report[kind]["failed"]
+               for report in reports for kind in ("lookups", "orders"))
+
+
+def kill_and_restart(deployment, tally, rng):
+    """Kills entries one after the other and starts them again from nothing."""
+    load = Load(deployment, "kill", 12, 40, rng.randrange(1 << 30))
+    faults = 0
+    for _ in range(4):
+        time.sleep(1.5)
+        name = rng.choice(list(deployment.entries))
+        deployment.restart_entry(name, signal.SIGKILL)
+        faults += 1
+    count_requests(deployment, tally, load.finish(), faults)
+
+
+def freeze(deployment, tally, rng):
+    """Freezes entries for longer than others wait for them, and lets them go on."""
+    load = Load(deployment, "freeze", 14, 40, rng.randrange(1 << 30))
+    faults = 0
+    for _ in range(2):
+        time.sleep(1)
+        names = rng.sample(list(deployment.entries), 2)
+        for name in names:
+            deployment.processes.signal(name, signal.SIGSTOP)
+        time.sleep(4)
+        for name in names:
+            deployment.processes.signal(name, signal.SIGCONT)
+        faults += len(names)
+    count_requests(deployment, tally, load.finish(), faults)
+
+
+def store_down(deployment, tally, rng):
+    """Takes the store away while entries are killed and start from nothing."""
+    load = Load(deployment, "store", 14, 40, rng.randrange(1 << 30))
+    before = deployment.versions()
+    http("POST", f"http://{deployment.store}/control/down", {"mode": rng.choice(["close", "silent"])})
+    faults = 1
+    for _ in range(2):
+        time.sleep(1)
+        deployment.restart_entry(rng.choice(list(deployment.entries)), signal.SIGKILL)
+        faults += 1
+    time.sleep(5)
+    after = deployment.versions()
+    back = [name for name, version in after.items() if version < max(before.values())]
+    http("POST", f"http://{deployment.store}/control/down", {"mode": "none"})
+    tally.add("a configuration never goes back", len(after), faults, len(back),
+              "behind during the outage: " + " ".join(back) if back else "")
+    count_requests(deployment, tally, load.finish(), faults)
+
+
+def planned_stops(deployment, tally, rng):
+    """Stops entries gracefully under load, stragglers included."""
+    load = Load(deployment, "stop", 20, 40, rng.randrange(1 << 30))
+    time.sleep(1)
+    names = rng.sample(list(deployment.entries), 2)
+    times = []
+    for name in names:
+        begin = time.monotonic()
+        deployment.processes.signal(name, signal.SIGTERM)
+        code = deployment.processes.wait(name, timeout=60)
+        times.append(time.monotonic() - begin)
+        tally.add("a planned stop ends by itself", 1, 0, 0 if code == 0 else 1)
+        deployment.restart_entry(name)
+    reports = load.finish()
+    count_requests(deployment, tally, reports, 0)
+    sent = sum(report[kind]["sent"] for report in reports for kind in ("lookups", "orders"))
+    tally.add("a planned stop cuts off no request", sent, len(names), unknown_of(reports),
+              f"drain time {max(times):.1f} s")
+
+
+def configuration_changes(deployment, tally, rng):
+    """Changes the configuration while a hub is killed and the store loses answers."""
+    place = deployment.places[-1]["id"]
+    for number in range(4):
+        name = rng.choice(list(deployment.entries))
+        faults = 0
+        if number == 1:
+            deployment.processes.signal(name, signal.SIGKILL)
+            faults = 1
+        if number == 2:
+            http("POST", f"http://{deployment.store}/control/lose_answers", {"n": 1})
+            faults = 1
+        before = max(deployment.versions(skip=[name]).values())
+        deployment.control("drain" if number % 2 == 0 else "undrain", place, skip=[name])
+        begin = time.monotonic()
+        skip = [name] if number == 1 else []
+        reached = deployment.wait_for_version(before + 1, skip, CONFIGURATION_LIMIT_S)
+        tally.add("a configuration is in force everywhere in 4 s", 1, faults,
+                  0 if reached else 1, f"{time.monotonic() - begin:.2f} s")
+        tally.add("a command is applied once", 1, faults,
+                  0 if max(deployment.versions(skip=skip).values()) == before + 1 else 1)
+        if number == 1:
+            deployment.restart_entry(name)
+
+
+def racing_operators(deployment, tally, rng):
+    """Lets operators change the same thing at the same moment through different entries."""
+    place = deployment.places[0]["id"]
+    entries = list(deployment.entries.values())
+    for number in range(3):
+        before = max(deployment.versions().values())
+        results = []
+
+        def change(entry, percent):
+            results.append(deployment.post_change(entry, before, f"race-{number}-{percent}", place))
+
+        threads = [threading.Thread(target=change, args=(entry, percent))
+                   for percent, entry in enumerate(rng.sample(entries, 3))]
+        for it in threads:
+            it.start()
+        for it in threads:
+            it.join()
+        winners = [status for status, _ in results if status == 200]
+        told = [text for status, text in results if status == 409 and "version" in text]
+        tally.add("of racing commands exactly one wins", 1, 1,
+                  0 if len(winners) == 1 and len(told) == 2 else 1,
+                  "" if len(winners) == 1 else str(results)[:200])
+        deployment.wait_for_version(before + 1, [], CONFIGURATION_LIMIT_S)
+        deployment.control("undrain", place)
+        deployment.wait_for_version(before + 2, [], CONFIGURATION_LIMIT_S)
+
+
+def leaving_upstream(deployment, tally, rng):
+    """Lets the instance list, which lags, report an upstream as leaving."""
+    load = Load(deployment, "leave", 14, 40, rng.randrange(1 << 30))
+    time.sleep(4)
+    service = ordered_service(deployment)
+    ids = [it["id"] for place in deployment.places if place["service"] == service
+           for it in place["upstreams"]]
+    spec = next(it for it in deployment.upstream_specs if it["id"] == rng.choice(ids))
+    deployment.register(spec["id"], "upstream", spec["listen"], "leaving")
+    time.sleep(LEAVING_LIMIT_S + deployment.list_lag_s)
+    first = http("GET", f"http://{spec['listen']}/control/counters")["received"]
+    time.sleep(3)
+    second = http("GET", f"http://{spec['listen']}/control/counters")["received"]
+    deployment.register(spec["id"], "upstream", spec["listen"])
+    tally.add("a leaving upstream gets no new work after 3 s", 1, 1, second - first)
+    count_requests(deployment, tally, load.finish(), 1)
+
+
+def silent_store_connections(deployment, tally, rng):
+    """Silences every open connection to the store, for ever; new ones work."""
+    for _ in range(2):
+        before = max(deployment.versions().values())
+        http("POST", f"http://{deployment.relay_control}/control/silence_open",
+             {"to_server": True, "to_client": True})
+        place = rng.choice(deployment.places)["id"]
+        deployment.control_until_done("drain", place)
+        begin = time.monotonic()
+        reached = deployment.wait_for_version(before + 1, [], CONFIGURATION_LIMIT_S)
+        tally.add("silent connections to the store are replaced", 1, 1, 0 if reached else 1,
+                  f"change in force after {time.monotonic() - begin:.2f} s")
+        deployment.control("undrain", place)
+        deployment.wait_for_version(before + 2, [], CONFIGURATION_LIMIT_S)
+
+
+SCENARIOS = [configuration_changes, racing_operators, silent_store_connections, leaving_upstream,
+             kill_and_restart, freeze, store_down, planned_stops]
+
+
+def run(deployment, seed, names):
+    tally = Tally()
+    for scenario in SCENARIOS:
+        if names and scenario.__name__ not in names:
+            continue
+        print(f"{deployment.name}: {scenario.__name__}", flush=True)
+        scenario(deployment, tally, random.Random(seed))
+        wait_until(lambda: all(deployment.is_ready(it) for it in deployment.entries.values()),
+                   "all entries to be ready again", 60)
+    return tally
