--- /dev/null
+++ b/src/limits/share_holder.cpp
@@ -0,0 +1,145 @@
+#include "fuchsiaproxy/limits/share_holder.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace fuchsiaproxy::limits
+{
+namespace
+{
+
+// Demand of one second is a sample; a quarter more keeps most moves of the next from waiting.
+constexpr std::uint64_t margin_divisor = 4;
+constexpr base::duration repeat_interval = std::chrono::seconds{2};
+constexpr base::duration idle_repeat_interval = std::chrono::seconds{10};
+// Keeps a share over short pauses, because a returned one takes about 2 s to come back.
+constexpr base::duration idle_before_return = std::chrono::seconds{10};
+
+std::uint64_t with_margin(std::uint64_t amount)
+{
+    return amount == 0 ? 0 : amount + amount / margin_divisor + 1;
+}
+
+/// Returns `value * numerator / denominator`, rounded down. Precondition: the last two are below
+/// 2^32 and `denominator` is not zero.
+std::uint64_t scale(std::uint64_t value, std::uint64_t numerator, std::uint64_t denominator)
+{
+    return value / denominator * numerator + value % denominator * numerator / denominator;
+}
+
+} // namespace
+
+void share_holder::apply(model::configuration const& config, base::availability_zone_id const& zone,
+                         share_actions& actions)
+{
+    std::map<base::cap_id, std::uint64_t> parts;
+    for (auto const& it : config.caps)
+    {
+        auto const part = it.split.find(zone);
+        parts[it.id] = part == it.split.end() ? 0 : part->second;
+        shares_.try_emplace(it.id);
+    }
+    for (auto& [cap, it] : shares_)
+    {
+        auto const part = parts.find(cap);
+        if (part == parts.end())
+        {
+            it.part.reset();
+            lower(cap, it, 0, actions);
+            continue;
+        }
+        if (it.part && part->second < *it.part)
+        {
+            lower(cap, it, scale(it.held, part->second, *it.part), actions);
+        }
+        it.part = part->second;
+        // The gate of a cap that came back starts without a share.
+        actions.emplace_back(set_share{cap, it.held});
+    }
+}
+
+void share_holder::on_grant(messages::share_grant const& it, share_actions& actions)
+{
+    if (it.holder != self_)
+    {
+        return;
+    }
+    auto& known = shares_[it.cap];
+    if (it.revision < known.revision)
+    {
+        return;
+    }
+    if (it.revision == known.revision)
+    {
+        // The acknowledgement may have been lost.
+        if (known.held <= it.amount)
+        {
+            actions.emplace_back(
+                send_to_hub{messages::share_return{it.cap, known.held, known.revision}});
+        }
+        return;
+    }
+    // A hub that does not know the latest configuration may grant more than the whole part.
+    auto const amount = known.part ? std::min(it.amount, *known.part) : 0;
+    auto const is_less = amount < known.held || amount < it.amount;
+    known.revision = it.revision;
+    known.held = amount;
+    actions.emplace_back(set_share{it.cap, amount});
+    if (is_less)
+    {
+        actions.emplace_back(send_to_hub{messages::share_return{it.cap, amount, it.revision}});
+    }
+}
+
+void share_holder::on_demand(std::vector<cap_demand> const& demand, base::time_point now,
+                             share_actions& actions)
+{
+    for (auto const& it : demand)
+    {
+        auto& known = shares_[it.cap];
+        auto const wanted = std::min(with_margin(it.amount), known.part.value_or(0));
+        if (wanted > known.held / 2)
+        {
+            known.needed_at = now;
+        }
+        // Falls slowly, so that a share is not returned for the sake of one quiet second.
+        known.wanted = std::max(wanted, known.wanted - known.wanted / margin_divisor);
+        if (known.wanted < margin_divisor && wanted == 0)
+        {
+            known.wanted = 0;
+        }
+        if (known.held > known.wanted && known.needed_at + idle_before_return <= now)
+        {
+            lower(it.cap, known, known.wanted, actions);
+        }
+        auto const is_new = known.wanted > known.held && known.wanted > known.asked;
+        auto const is_due =
+            (known.wanted > 0 || known.held > 0) && known.asked_at + repeat_interval <= now;
+        if (is_new || is_due)
+        {
+            known.asked = known.wanted;
+            known.asked_at = now;
+            actions.emplace_back(send_to_hub{messages::share_request{it.cap, known.wanted}});
+        }
+    }
+}
+
+std::uint64_t share_holder::held(base::cap_id const& cap) const
+{
+    auto const it = shares_.find(cap);
+    return it == shares_.end() ? 0 : it->second.held;
+}
+
+void share_holder::lower(base::cap_id const& cap, share& it, std::uint64_t amount,
+                         share_actions& actions)
+{
+    if (amount >= it.held)
+    {
+        return;
+    }
+    it.held = amount;
+    actions.emplace_back(set_share{cap, amount});
+    actions.emplace_back(send_to_hub{messages::share_return{cap, amount, it.revision}});
+}
+
+} // namespace fuchsiaproxy::limits
--- /dev/null
+++ b/src/limits/share_ledger.cpp
@@ -0,0 +1,447 @@
+#include "fuchsiaproxy/limits/share_ledger.hpp"
+
+#include <algorithm>
+
+#include "fuchsiaproxy/limits/move_gate.hpp"
+
+namespace fuchsiaproxy::limits
+{
+namespace
+{
+
+// Clocks of two instances may run at rates that differ by far less than this.
+constexpr base::duration reuse_delay = limit_window + std::chrono::milliseconds{50};
+// 29 zones then make at most 58 writes/s, out of the several hundred that the store takes.
+constexpr base::duration commit_interval = std::chrono::milliseconds{500};
+// Entries repeat their demand every 2 s.
+constexpr base::duration demand_lifetime = std::chrono::seconds{7};
+
+} // namespace
+
+std::map<share_owner, std::uint64_t>
+divide_fairly(std::uint64_t part, std::map<share_owner, std::uint64_t> const& wanted)
+{
+    std::vector<std::pair<std::uint64_t, share_owner>> ascending;
+    ascending.reserve(wanted.size());
+    for (auto const& [owner, amount] : wanted)
+    {
+        ascending.emplace_back(amount, owner);
+    }
+    std::sort(ascending.begin(), ascending.end());
+    std::map<share_owner, std::uint64_t> out;
+    auto left = part;
+    auto owners = ascending.size();
+    for (auto const& [amount, owner] : ascending)
+    {
+        auto const given = std::min(amount, left / owners);
+        out[owner] = given;
+        left -= given;
+        --owners;
+    }
+    return out;
+}
+
+std::uint64_t reserved(share_document const& document, base::cap_id const& cap)
+{
+    std::uint64_t sum = 0;
+    auto const all = document.caps.find(cap);
+    if (all != document.caps.end())
+    {
+        for (auto const& [owner, it] : all->second)
+        {
+            sum += it.amount;
+        }
+    }
+    return sum;
+}
+
+bool is_reduction_in_force(share_document const& document, base::cap_id const& cap,
+                           std::uint64_t part, base::config_version version)
+{
+    return document.version >= version && reserved(document, cap) <= part;
+}
+
+void share_ledger::apply(model::configuration const& config, base::availability_zone_id const& zone)
+{
+    version_ = config.version;
+    parts_.clear();
+    for (auto const& it : config.caps)
+    {
+        auto const part = it.split.find(zone);
+        parts_[it.id] = part == it.split.end() ? 0 : part->second;
+    }
+}
+
+void share_ledger::load(share_document document, base::time_point now)
+{
+    committed_ = document;
+    working_ = std::move(document);
+    pending_.reset();
+    loaded_ = true;
+    changed_ = false;
+    std::set<share_owner> replaced;
+    for (auto const& [cap, all] : working_.caps)
+    {
+        for (auto const& [owner, it] : all)
+        {
+            auto& newest = newest_[owner.instance];
+            newest = std::max(newest, owner.number);
+        }
+    }
+    for (auto const& [cap, all] : working_.caps)
+    {
+        for (auto const& [owner, it] : all)
+        {
+            if (owner.number < newest_[owner.instance])
+            {
+                replaced.insert(owner);
+            }
+        }
+    }
+    for (auto const& it : replaced)
+    {
+        on_dead(it, now);
+    }
+}
+
+void share_ledger::on_request(share_owner const& owner, messages::share_request const& it,
+                              base::time_point now, hub_actions& actions)
+{
+    on_registered(owner, now);
+    if (owner.number < newest_[owner.instance] || gone_.count(owner.instance) != 0)
+    {
+        return;
+    }
+    demands_[{it.cap, owner}] = {it.amount, now};
+    auto const cap = committed_.caps.find(it.cap);
+    if (!loaded_ || cap == committed_.caps.end())
+    {
+        return;
+    }
+    auto const known = cap->second.find(owner);
+    if (known != cap->second.end())
+    {
+        actions.push_back(
+            {owner.instance, messages::share_grant{it.cap, owner.number, known->second.target,
+                                                   known->second.revision}});
+    }
+}
+
+void share_ledger::on_return(share_owner const& owner, messages::share_return const& it,
+                             base::time_point now)
+{
+    // Whether the acknowledgement still counts is decided when it takes effect.
+    reductions_.push_back({it.cap, owner, it.amount, it.revision, now + reuse_delay});
+}
+
+void share_ledger::on_instance_list(std::set<base::instance_id> const& entries,
+                                    base::time_point now)
+{
+    for (auto const& it : last_list_)
+    {
+        if (entries.count(it) == 0)
+        {
+            gone_.insert(it);
+        }
+    }
+    last_list_ = entries;
+    for (auto const& it : entries)
+    {
+        gone_.erase(it);
+    }
+    for (auto it = demands_.begin(); it != demands_.end();)
+    {
+        it = gone_.count(it->first.second.instance) != 0 ? demands_.erase(it) : std::next(it);
+    }
+    if (!loaded_)
+    {
+        return;
+    }
+    for (auto const& [cap, all] : working_.caps)
+    {
+        for (auto const& [owner, it] : all)
+        {
+            if (entries.count(owner.instance) != 0)
+            {
+                changed_ = working_.listed.insert(owner.instance).second || changed_;
+            }
+            else if (working_.listed.count(owner.instance) != 0 || gone_.count(owner.instance) != 0)
+            {
+                on_dead(owner, now);
+            }
+        }
+    }
+}
+
+void share_ledger::on_registered(share_owner const& owner, base::time_point now)
+{
+    auto& newest = newest_[owner.instance];
+    if (owner.number <= newest)
+    {
+        return;
+    }
+    newest = owner.number;
+    gone_.erase(owner.instance);
+    for (auto it = demands_.begin(); it != demands_.end();)
+    {
+        auto const& known = it->first.second;
+        auto const is_earlier = known.instance == owner.instance && known.number < owner.number;
+        it = is_earlier ? demands_.erase(it) : std::next(it);
+    }
+    for (auto const& [cap, all] : working_.caps)
+    {
+        for (auto const& [known, it] : all)
+        {
+            if (known.instance == owner.instance && known.number < owner.number)
+            {
+                on_dead(known, now);
+            }
+        }
+    }
+}
+
+std::optional<share_document> share_ledger::prepare(base::time_point now)
+{
+    if (!loaded_ || pending_ || now < next_commit_ || version_ < committed_.version)
+    {
+        return std::nullopt;
+    }
+    if (working_.version < version_)
+    {
+        working_.version = version_;
+        changed_ = true;
+    }
+    drop_old_demand(now);
+    apply_reductions(now);
+    remove_dead(now);
+    std::set<base::cap_id> caps;
+    for (auto const& [cap, part] : parts_)
+    {
+        caps.insert(cap);
+    }
+    for (auto const& [cap, all] : working_.caps)
+    {
+        caps.insert(cap);
+    }
+    for (auto const& cap : caps)
+    {
+        allocate(cap);
+    }
+    if (!changed_)
+    {
+        return std::nullopt;
+    }
+    ++working_.revision;
+    changed_ = false;
+    pending_ = working_;
+    next_commit_ = now + commit_interval;
+    return pending_;
+}
+
+void share_ledger::on_committed(hub_actions& actions)
+{
+    if (!pending_)
+    {
+        return;
+    }
+    ++counters_.commits;
+    committed_ = std::move(*pending_);
+    pending_.reset();
+    for (auto const& [cap, all] : committed_.caps)
+    {
+        for (auto const& [owner, it] : all)
+        {
+            if (it.revision == committed_.revision)
+            {
+                ++counters_.grants;
+                actions.push_back({owner.instance, messages::share_grant{cap, owner.number,
+                                                                         it.target, it.revision}});
+            }
+        }
+    }
+}
+
+void share_ledger::on_commit_failed()
+{
+    ++counters_.failed_commits;
+    pending_.reset();
+    loaded_ = false;
+}
+
+void share_ledger::on_dead(share_owner const& owner, base::time_point now)
+{
+    if (dead_.try_emplace(owner, now + reuse_delay).second)
+    {
+        ++counters_.dead_owners;
+    }
+}
+
+void share_ledger::apply_reductions(base::time_point now)
+{
+    auto const due = [now](reduction const& it) { return it.effective_at <= now; };
+    for (auto const& it : reductions_)
+    {
+        auto const cap = working_.caps.find(it.cap);
+        if (!due(it) || cap == working_.caps.end())
+        {
+            continue;
+        }
+        auto const known = cap->second.find(it.owner);
+        if (known == cap->second.end())
+        {
+            continue;
+        }
+        auto& reservation = known->second;
+        // An entry that had not seen the latest grant may have raised its use to it since.
+        if (it.revision != reservation.revision)
+        {
+            ++counters_.ignored_returns;
+            continue;
+        }
+        if (it.amount >= reservation.amount)
+        {
+            continue;
+        }
+        reservation.amount = it.amount;
+        reservation.target = std::min(reservation.target, it.amount);
+        changed_ = true;
+        if (reservation.amount == 0)
+        {
+            cap->second.erase(known);
+        }
+    }
+    reductions_.erase(std::remove_if(reductions_.begin(), reductions_.end(), due),
+                      reductions_.end());
+}
+
+void share_ledger::remove_dead(base::time_point now)
+{
+    for (auto it = dead_.begin(); it != dead_.end();)
+    {
+        if (it->second > now)
+        {
+            ++it;
+            continue;
+        }
+        for (auto& [cap, all] : working_.caps)
+        {
+            changed_ = all.erase(it->first) != 0 || changed_;
+        }
+        it = dead_.erase(it);
+    }
+    // The names of instances without a reservation prove nothing any more.
+    std::set<base::instance_id> owners;
+    for (auto const& [cap, all] : working_.caps)
+    {
+        for (auto const& [owner, reservation] : all)
+        {
+            owners.insert(owner.instance);
+        }
+    }
+    for (auto it = working_.listed.begin(); it != working_.listed.end();)
+    {
+        it = owners.count(*it) != 0 ? std::next(it) : working_.listed.erase(it);
+    }
+}
+
+std::uint64_t share_ledger::part_of(base::cap_id const& cap) const
+{
+    auto const it = parts_.find(cap);
+    return it == parts_.end() ? 0 : it->second;
+}
+
+void share_ledger::allocate(base::cap_id const& cap)
+{
+    auto& all = working_.caps[cap];
+    auto const fair = divide_fairly(part_of(cap), wanted(cap, all));
+    reduce(cap, all, fair);
+    raise(cap, all, fair);
+    if (all.empty())
+    {
+        working_.caps.erase(cap);
+    }
+}
+
+void share_ledger::reduce(base::cap_id const& cap, reservations& all,
+                          std::map<share_owner, std::uint64_t> const& fair)
+{
+    std::uint64_t needed = 0;
+    for (auto const& [owner, amount] : fair)
+    {
+        auto const it = all.find(owner);
+        needed += it == all.end() ? amount : std::max(amount, it->second.target);
+    }
+    if (needed <= part_of(cap))
+    {
+        return;
+    }
+    for (auto& [owner, it] : all)
+    {
+        auto const target = fair.at(owner);
+        if (target < it.target)
+        {
+            it.target = target;
+            it.revision = working_.revision + 1;
+            changed_ = true;
+        }
+    }
+}
+
+void share_ledger::raise(base::cap_id const& cap, reservations& all,
+                         std::map<share_owner, std::uint64_t> const& fair)
+{
+    std::uint64_t used = 0;
+    for (auto const& [owner, it] : all)
+    {
+        used += it.amount;
+    }
+    auto const part = part_of(cap);
+    auto free = used < part ? part - used : 0;
+    for (auto const& [owner, amount] : fair)
+    {
+        auto const it = all.find(owner);
+        auto const target = it == all.end() ? 0 : it->second.target;
+        if (amount <= target)
+        {
+            continue;
+        }
+        auto const held = it == all.end() ? 0 : it->second.amount;
+        // Taking back a reduction that was not acknowledged needs nothing of the free part.
+        auto const added = amount > held ? std::min(amount - held, free) : 0;
+        auto const next = std::min(amount, held + added);
+        if (next <= target)
+        {
+            continue;
+        }
+        free -= added;
+        all[owner] = {std::max(held, next), next, working_.revision + 1};
+        changed_ = true;
+    }
+}
+
+std::map<share_owner, std::uint64_t> share_ledger::wanted(base::cap_id const& cap,
+                                                          reservations const& all) const
+{
+    std::map<share_owner, std::uint64_t> out;
+    // An entry that is silent keeps what it has: it may be using it.
+    for (auto const& [owner, it] : all)
+    {
+        out[owner] = it.amount;
+    }
+    for (auto it = demands_.lower_bound({cap, share_owner{}});
+         it != demands_.end() && it->first.first == cap; ++it)
+    {
+        out[it->first.second] = it->second.amount;
+    }
+    return out;
+}
+
+void share_ledger::drop_old_demand(base::time_point now)
+{
+    for (auto it = demands_.begin(); it != demands_.end();)
+    {
+        it = it->second.asked_at + demand_lifetime <= now ? demands_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace fuchsiaproxy::limits
