Carry the class and the wait of the request in borrow

An owner that knows neither lends by order of arrival, and an entry with few slots of its own then refuses heavy requests while its neighbours serve light ones.

--- a/src/include/fuchsiaproxy/messages/messages.hpp
+++ b/src/include/fuchsiaproxy/messages/messages.hpp
@@ -125,6 +125,10 @@
     std::uint64_t number = 0;
     base::service_id service;
     std::uint32_t slots = 0;
+    /// Class of the request that needs the slot, by which owners rank it.
+    std::uint32_t request_class = 0;
+    /// Time for which that request has waited.
+    base::duration waited{};
 };
 
 /// Lends slots of one upstream until `valid_for` after the borrower sent the request.
