Serve by latest start and refuse by weight; share slots by urgency

Requests are served by their latest start. When the queue is too long, those with the least weight per service time are refused first. Owners lend by the same order. Ejected upstreams are probed by requests that arrive, and start again with one slot when none can probe them: an upstream of a service without idempotent traffic stayed ejected for ever.

--- a/src/include/fuchsiaproxy/routing/settings.hpp
+++ b/src/include/fuchsiaproxy/routing/settings.hpp
@@ -25,6 +25,12 @@
     bool retries = true;
     /// A hedge that is slow itself is cancelled: the request is long, and not its upstream.
     bool hedge_cut = true;
+    /// The queue is ordered by weight per expected service time, and not by weight alone.
+    bool weight_per_work = true;
+    /// The queue is ordered by the latest start, and by weight only to choose what is refused.
+    bool deadline_first = true;
+    /// Hedges wait while requests are queued.
+    bool hedge_when_idle = true;
 };
 
 /// Tunable numbers of the dispatcher. The defaults are those of `docs/policy.md`.
@@ -34,7 +40,9 @@
     /// Requests that may wait for one service.
     std::size_t queue_capacity = 256;
     /// Share of a request's time to its deadline that it may be expected to wait in the queue.
-    double queue_share = 0.5;
+    double queue_share = 0.7;
+    /// Share of that wait at which requests of lower rank are refused to make room.
+    double shed_share = 0.8;
     /// Service time that is assumed before anything was measured.
     base::duration assumed_service_time = std::chrono::milliseconds(20);
     /// Rate of the links between regions, for the transfer time.
@@ -52,8 +60,10 @@
 
     /// Time for which a lent slot may be used for new attempts.
     base::duration loan_validity = std::chrono::milliseconds(500);
+    /// The same while others wait for a slot of the owner: the slot is soon granted anew, by rank.
+    base::duration contended_validity = std::chrono::milliseconds(100);
     /// An unused lent slot is given back after this time.
-    base::duration loan_linger = std::chrono::milliseconds(20);
+    base::duration loan_linger = std::chrono::milliseconds(3);
     /// A lender that refused or did not answer is not asked again for this time.
     base::duration lender_pause = std::chrono::milliseconds(20);
     /// Longest time that an owner keeps a request for a slot that it cannot fulfil.
@@ -64,6 +74,9 @@
     base::duration silent_lender_pause = std::chrono::seconds(1);
     /// Expected extra wait at a lender for each request for a slot that is already open there.
     base::duration open_borrow_penalty = std::chrono::milliseconds(2);
+    /// A slot is lent to another zone before it is used for the own queue only if the borrower has
+    /// waited longer than the own request by this time: each exchange across zones costs slot time.
+    base::duration exchange_margin = std::chrono::milliseconds(5);
     /// Requests for slots that are open at one lender at a time.
     std::uint32_t borrows_per_lender = 4;
     /// Time that entries may need to agree on their view of the live entries. A new owner hands
@@ -87,7 +100,9 @@
     /// Share of the upstreams of a service that may be ejected at once.
     double max_ejected_share = 0.3;
     /// Time until the first probe of an ejected upstream; doubles with each failed probe.
-    base::duration probe_interval = std::chrono::milliseconds(250);
+    base::duration probe_interval = std::chrono::milliseconds(100);
+    /// An upstream that no request could probe for this time starts again with one slot.
+    base::duration probe_patience = std::chrono::milliseconds(250);
     base::duration max_probe_interval = std::chrono::seconds(4);
 
     /// A class is long when its mean exceeds that of the shortest class by this factor.
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -5,6 +5,17 @@
 namespace fuchsiaproxy::routing
 {
 
+namespace
+{
+
+base::duration share_of(base::duration whole, double share)
+{
+    return base::duration(
+        static_cast<base::duration::rep>(share * static_cast<double>(whole.count())));
+}
+
+} // namespace
+
 void dispatcher::state::enqueue(queued_request const& request, base::time_point now,
                                 dispatch_actions& actions)
 {
@@ -36,8 +47,12 @@
     request_by_id.insert(request.id.value(), index);
     choose_target(service, row, now);
 
-    queue_entry const entry{service.classes[row.request_class].weight, index, row.deadline,
-                            service.classes[row.request_class].latency.mean()};
+    if (auto const probe = probe_for(service, row, now))
+    {
+        start(index, *probe, false, now, actions);
+        return;
+    }
+    auto const entry = entry_for(index);
     if (auto const refusal = refuse(service, row, entry, now, actions))
     {
         give_up_on(index, *refusal, actions);
@@ -81,11 +96,22 @@
     }
     if (settings.parts.early_refusal)
     {
-        auto const wait = expected_wait(service, entry);
-        auto const left = request.deadline - now;
-        auto const allowed = base::duration(static_cast<base::duration::rep>(
-            settings.queue_share * static_cast<double>(left.count())));
-        if (wait + entry.expected_service > left || wait > allowed)
+        // Requests of lower rank make room first, and before the wait becomes critical: the
+        // expected wait is not exact.
+        auto const allowed = entry.until - now;
+        auto wait = expected_wait(service, entry);
+        while (wait > share_of(allowed, settings.shed_share))
+        {
+            auto const victim = service.queue.least_before(entry);
+            if (victim == service.queue.size())
+            {
+                break;
+            }
+            ++counts.refused_early;
+            evict(service, victim, base::error_kind::deadline_unreachable, actions);
+            wait = expected_wait(service, entry);
+        }
+        if (wait > allowed)
         {
             ++counts.refused_early;
             return base::error_kind::deadline_unreachable;
@@ -95,15 +121,11 @@
     {
         ++counts.refused_full;
         auto const last = service.queue.size() - 1;
-        auto const victim = service.queue.at(last);
-        if (!request_queue::before(entry, victim))
+        if (!request_queue::before(entry, service.queue.at(last)))
         {
             return base::error_kind::queue_full;
         }
-        service.queue.erase_at(last);
-        requests[victim.request].queued = false;
-        give_up_on(victim.request, base::error_kind::queue_full, actions);
-        free_request(victim.request);
+        evict(service, last, base::error_kind::queue_full, actions);
     }
     return std::nullopt;
 }
@@ -111,21 +133,47 @@
 base::duration dispatcher::state::expected_wait(service_row const& service,
                                                 queue_entry const& it) const
 {
-    // The attempts in flight show how many slots this entry commands while it has a queue.
-    return service.queue.work_before(it) / std::max(service.in_flight, 1U);
+    // The attempts in flight show how many slots this entry commands while it has a queue. Loans
+    // come in bursts, so it counts with its fair share of the region at least.
+    return service.queue.work_before(it) / std::max({service.in_flight, service.fair_slots, 1U});
+}
+
+void dispatcher::state::evict(service_row& service, std::size_t position, base::error_kind kind,
+                              dispatch_actions& actions)
+{
+    auto const request = service.queue.at(position).request;
+    service.queue.erase_at(position);
+    requests[request].queued = false;
+    give_up_on(request, kind, actions);
+    free_request(request);
+}
+
+base::time_point dispatcher::state::latest_start(class_row const& kind, base::time_point arrived,
+                                                 base::time_point deadline) const
+{
+    if (!settings.parts.early_refusal)
+    {
+        return deadline;
+    }
+    return std::min(deadline - kind.latency.median(),
+                    arrived + share_of(deadline - arrived, settings.queue_share));
+}
+
+queue_entry dispatcher::state::entry_for(std::uint32_t request) const
+{
+    auto const& row = requests[request];
+    auto const& kind = services[row.service].classes[row.request_class];
+    return {settings.parts.deadline_first ? 0 : kind.rank, kind.rank, request,
+            latest_start(kind, row.arrived, row.deadline), kind.latency.mean()};
 }
 
 void dispatcher::state::put_in_queue(std::uint32_t request, base::time_point now)
 {
     auto& row = requests[request];
-    auto& service = services[row.service];
-    auto const& kind = service.classes[row.request_class];
+    auto const entry = entry_for(request);
     row.queued = true;
-    service.queue.insert({kind.weight, request, row.deadline, kind.latency.mean()});
-    auto const margin =
-        settings.parts.early_refusal ? kind.latency.median() : base::duration::zero();
-    timers.push(
-        {std::max(now, row.deadline - margin), row.serial, request, timer_kind::queue_expiry});
+    services[row.service].queue.insert(entry);
+    timers.push({std::max(now, entry.until), row.serial, request, timer_kind::queue_expiry});
 }
 
 void dispatcher::state::on_queue_expiry(std::uint32_t request, base::time_point now,
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "dispatcher_state.hpp"
 
@@ -270,7 +271,7 @@
     {
     case attempt_result::completed:
         kind.latency.add(elapsed);
-        update_long_classes(services[attempt.service]);
+        update_classes(services[attempt.service]);
         up.health.on_sample(ratio);
         up.warmth.on_good();
         break;
@@ -297,7 +298,7 @@
     eject_if_outlier(attempt.upstream, now);
 }
 
-void dispatcher::state::update_long_classes(service_row& service)
+void dispatcher::state::update_classes(service_row& service)
 {
     auto shortest = base::duration::max();
     for (auto const& it : service.classes)
@@ -312,6 +313,12 @@
         it.is_long = it.latency.established() &&
                      static_cast<double>(it.latency.mean().count()) >
                          settings.long_factor * static_cast<double>(shortest.count());
+        // The weight that one second of a slot earns; ranks are steps of a quarter, so that noise
+        // of the mean does not reorder classes.
+        auto const seconds = std::chrono::duration<double>(it.latency.mean()).count();
+        auto const value =
+            settings.parts.weight_per_work ? it.weight / std::max(seconds, 1e-6) : it.weight;
+        it.rank = static_cast<std::uint32_t>(4 * std::log2(1 + value));
     }
 }
 
@@ -355,20 +362,22 @@
     timers.push({now + settings.probe_interval, 0, upstream, timer_kind::probe_due});
 }
 
-void dispatcher::state::on_probe_due(std::uint32_t upstream)
+void dispatcher::state::on_probe_due(std::uint32_t upstream, base::time_point now)
 {
     auto& up = upstreams[upstream];
-    if (!up.health.ejected())
+    if (!up.health.ejected() || up.health.probe_running())
     {
         return;
     }
-    if (owned(up))
+    if (owned(up) && !up.health.probe_ready())
     {
         up.health.allow_probe();
+        timers.push({now + settings.probe_patience, 0, upstream, timer_kind::probe_due});
         return;
     }
-    // Only the owner can probe; what this entry measured is out of date.
+    // No request could probe it, or only its owner can: it starts again with one slot.
     up.health.reset();
+    up.warmth.restart();
     --services[up.service].ejected;
 }
 
@@ -425,7 +434,7 @@
     {
         return false;
     }
-    if (!service.hedges.available())
+    if (!service.hedges.available() || (settings.parts.hedge_when_idle && !service.queue.empty()))
     {
         return true;
     }
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -47,7 +47,7 @@
         expire_pending(it.index, now, actions);
         break;
     case timer_kind::probe_due:
-        on_probe_due(it.index);
+        on_probe_due(it.index, now);
         break;
     case timer_kind::recheck:
         services[it.index].recheck_armed = false;
--- a/src/routing/dispatcher_state.hpp
+++ b/src/routing/dispatcher_state.hpp
@@ -40,6 +40,11 @@
     std::optional<base::error_kind> refuse(service_row& service, request_row const& request,
                                            queue_entry const& entry, base::time_point now,
                                            dispatch_actions& actions);
+    queue_entry entry_for(std::uint32_t request) const;
+    base::time_point latest_start(class_row const& kind, base::time_point arrived,
+                                  base::time_point deadline) const;
+    void evict(service_row& service, std::size_t position, base::error_kind kind,
+               dispatch_actions& actions);
     void put_in_queue(std::uint32_t request, base::time_point now);
     void give_up_on(std::uint32_t request, base::error_kind kind, dispatch_actions& actions);
     void free_request(std::uint32_t request);
@@ -59,6 +64,9 @@
                                  std::uint32_t strictly_avoid, base::time_point now);
     std::optional<choice> cheapest(service_row const& service, request_row const& request,
                                    std::uint32_t avoid, base::time_point now) const;
+    /// Returns an ejected upstream that `request` can probe.
+    std::optional<choice> probe_for(service_row const& service, request_row const& request,
+                                    base::time_point now) const;
     bool worth_the_distance(service_row const& service, base::duration round_trip,
                             base::duration waited) const;
     bool is_refused(std::uint32_t place) const;
@@ -85,11 +93,11 @@
     void cancel_other(request_row& request, std::uint32_t keep, dispatch_actions& actions);
     void on_hedge_due(std::uint32_t attempt, std::uint64_t id, base::time_point now,
                       dispatch_actions& actions);
-    void update_long_classes(service_row& service);
+    void update_classes(service_row& service);
     /// Starts a hedge if it can. Returns true when it should be tried again later.
     bool hedge(std::uint32_t attempt, base::time_point now, dispatch_actions& actions);
     void on_probe_end(attempt_row const& attempt, bool good, base::time_point now);
-    void on_probe_due(std::uint32_t upstream);
+    void on_probe_due(std::uint32_t upstream, base::time_point now);
     float reference_slowness(service_row const& service) const;
     void eject_if_outlier(std::uint32_t upstream, base::time_point now);
     std::uint32_t find_attempt(base::attempt_id id) const;
@@ -100,9 +108,10 @@
     void borrow_for(std::uint32_t service, base::time_point now, dispatch_actions& actions);
     lender_row* choose_lender(service_row& service, std::uint32_t target, base::duration waited,
                               base::time_point now);
-    void ask(std::uint32_t service, lender_row& lender, base::time_point now,
+    void ask(std::uint32_t request, lender_row& lender, base::time_point now,
              dispatch_actions& actions);
-    void borrow_for_targets(std::uint32_t service, base::time_point now, dispatch_actions& actions);
+    bool queue_goes_first(service_row const& service, pending_borrow const& other) const;
+    void forget_ask(held_loan const& loan);
     void on_borrow(std::uint32_t from, messages::borrow const& it, base::time_point now,
                    dispatch_actions& actions);
     void on_lend(std::uint32_t from, messages::lend const& it, base::time_point now,
--- a/src/routing/lending.cpp
+++ b/src/routing/lending.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t lender_scan_limit = 32;
 // Requests for slots of one service that are open at a time.
 constexpr std::uint32_t max_open_borrows = 32;
-// Queued requests that are looked at for shifted ones.
-constexpr std::size_t target_scan_limit = 32;
+// Requests at the head of the queue that loans are asked for.
+constexpr std::size_t ask_scan_limit = 32;
 
 } // namespace
 
@@ -69,19 +69,32 @@
     return best;
 }
 
-void dispatcher::state::ask(std::uint32_t service_index, lender_row& lender, base::time_point now,
+void dispatcher::state::ask(std::uint32_t request_index, lender_row& lender, base::time_point now,
                             dispatch_actions& actions)
 {
-    auto& service = services[service_index];
-    auto const loan = loans.open(service_index, lender.entry, now);
-    auto const number = loans.at(loan).number;
+    auto& request = requests[request_index];
+    auto& service = services[request.service];
+    request.asked = true;
+    auto const index = loans.open(request.service, lender.entry, now);
+    auto& loan = loans.at(index);
+    loan.request = request_index;
+    loan.request_serial = request.serial;
     ++lender.open;
     ++service.open_borrows;
     ++counts.borrows_sent;
-    timers.push({now + lender.round_trip + settings.borrow_patience + settings.answer_slack, number,
-                 loan, timer_kind::borrow_timeout});
-    actions.emplace_back(
-        send_message{entries[lender.entry].id, messages::borrow{number, service.id, 1}});
+    timers.push({now + lender.round_trip + settings.borrow_patience + settings.answer_slack,
+                 loan.number, index, timer_kind::borrow_timeout});
+    actions.emplace_back(send_message{
+        entries[lender.entry].id, messages::borrow{loan.number, service.id, 1,
+                                                   request.request_class, now - request.arrived}});
+}
+
+void dispatcher::state::forget_ask(held_loan const& loan)
+{
+    if (loan.request != no_index && requests[loan.request].serial == loan.request_serial)
+    {
+        requests[loan.request].asked = false;
+    }
 }
 
 void dispatcher::state::borrow_for(std::uint32_t service_index, base::time_point now,
@@ -92,46 +105,27 @@
     {
         return;
     }
-    if (!service.shifts.empty())
-    {
-        borrow_for_targets(service_index, now, actions);
-    }
-    auto const waited = now - requests[service.queue.at(0).request].arrived;
-    while (service.open_borrows < std::min<std::size_t>(service.queue.size(), max_open_borrows))
+    for (std::size_t n = 0;
+         n < std::min(service.queue.size(), ask_scan_limit) &&
+         service.open_borrows < std::min<std::size_t>(service.queue.size(), max_open_borrows);
+         ++n)
     {
-        auto* const lender = choose_lender(service, no_index, waited, now);
-        if (lender == nullptr)
+        auto const index = service.queue.at(n).request;
+        auto const& request = requests[index];
+        if (request.asked)
         {
-            return;
-        }
-        ask(service_index, *lender, now, actions);
-    }
-}
-
-void dispatcher::state::borrow_for_targets(std::uint32_t service_index, base::time_point now,
-                                           dispatch_actions& actions)
-{
-    auto& service = services[service_index];
-    for (auto const& shift : service.shifts)
-    {
-        std::uint32_t waiting = 0;
-        for (std::size_t n = 0; n < std::min(service.queue.size(), target_scan_limit); ++n)
-        {
-            auto const& request = requests[service.queue.at(n).request];
-            waiting += request.target == shift.to && now < request.target_until ? 1 : 0;
+            continue;
         }
-        for (auto const& it : service.lenders)
+        bool const for_target = request.target != no_index && now < request.target_until;
+        auto* const lender = choose_lender(service, for_target ? request.target : no_index,
+                                           now - request.arrived, now);
+        if (lender != nullptr)
         {
-            waiting -= it.place == shift.to ? std::min(waiting, it.open) : 0;
+            ask(index, *lender, now, actions);
         }
-        for (; waiting > 0; --waiting)
+        else if (!for_target)
         {
-            auto* const lender = choose_lender(service, shift.to, {}, now);
-            if (lender == nullptr)
-            {
-                break;
-            }
-            ask(service_index, *lender, now, actions);
+            return;
         }
     }
 }
@@ -169,7 +163,18 @@
         deny();
         return;
     }
-    service.pending.push_back({from, it.number, now});
+    // Ranks come from this entry's measurements only: those of two entries differ a little, which
+    // would favour one of them.
+    auto const& kind =
+        service.classes[std::min<std::size_t>(it.request_class, service.classes.size() - 1)];
+    auto const arrived = now - it.waited;
+    pending_borrow const added{from, it.number, now, settings.parts.deadline_first ? 0 : kind.rank,
+                               latest_start(kind, arrived, arrived + kind.deadline)};
+    auto const place = std::upper_bound(
+        service.pending.begin(), service.pending.end(), added,
+        [](auto const& a, auto const& b)
+        { return a.priority != b.priority ? a.priority > b.priority : a.until < b.until; });
+    service.pending.insert(place, added);
     timers.push({now + settings.borrow_patience, 0, found->second, timer_kind::pending_expiry});
     after_slot_change(found->second, now, actions);
 }
@@ -199,14 +204,33 @@
     ledger.lend({number, borrower, best});
     ++counts.loans_granted;
     // The holder starts no attempt after the validity, and each ends by its deadline.
-    timers.push({now + settings.loan_validity + service.largest_deadline + settings.deadline_margin,
-                 number, borrower, timer_kind::loan_expiry});
-    actions.emplace_back(
-        send_message{entries[borrower].id,
-                     messages::lend{number, upstreams[best].id, 1, settings.loan_validity}});
+    auto const validity = service.queue.empty() && service.pending.size() <= 1
+                              ? settings.loan_validity
+                              : settings.contended_validity;
+    timers.push({now + validity + service.largest_deadline + settings.deadline_margin, number,
+                 borrower, timer_kind::loan_expiry});
+    actions.emplace_back(send_message{entries[borrower].id,
+                                      messages::lend{number, upstreams[best].id, 1, validity}});
     return true;
 }
 
+bool dispatcher::state::queue_goes_first(service_row const& service,
+                                         pending_borrow const& other) const
+{
+    if (service.queue.empty())
+    {
+        return false;
+    }
+    auto const& head = service.queue.at(0);
+    if (head.priority != other.priority)
+    {
+        return head.priority > other.priority;
+    }
+    auto const margin = entries[other.borrower].zone == self_zone ? base::duration::zero()
+                                                                  : settings.exchange_margin;
+    return other.until + margin > head.until;
+}
+
 void dispatcher::state::serve_pending(std::uint32_t service_index, bool only_older,
                                       base::time_point now, dispatch_actions& actions)
 {
@@ -214,8 +238,7 @@
     while (!service.pending.empty())
     {
         auto const first = service.pending.front();
-        if (only_older && !service.queue.empty() &&
-            first.received > requests[service.queue.at(0).request].arrived)
+        if (only_older && queue_goes_first(service, first))
         {
             return;
         }
@@ -239,12 +262,18 @@
                                        dispatch_actions& actions)
 {
     auto& pending = services[service_index].pending;
-    while (!pending.empty() && now - pending.front().received >= settings.borrow_patience)
+    for (std::size_t n = 0; n < pending.size();)
     {
+        auto const it = pending[n];
+        if (now - it.received < settings.borrow_patience)
+        {
+            ++n;
+            continue;
+        }
         ++counts.borrows_refused;
-        actions.emplace_back(send_message{entries[pending.front().borrower].id,
-                                          messages::lend{pending.front().number, {}, 0, {}}});
-        pending.erase(pending.begin());
+        actions.emplace_back(
+            send_message{entries[it.borrower].id, messages::lend{it.number, {}, 0, {}}});
+        pending.erase(pending.begin() + static_cast<std::ptrdiff_t>(n));
     }
 }
 
@@ -264,6 +293,8 @@
     auto& loan = loans.at(index);
     auto& service = services[loan.service];
     --service.open_borrows;
+    // A lent slot serves the head of the queue, so this request may need another one.
+    forget_ask(loan);
     auto* const lender = lender_of(service, from);
     if (lender != nullptr)
     {
@@ -380,6 +411,7 @@
         lender->open -= std::min(lender->open, 1U);
         lender->paused_until = now + settings.silent_lender_pause;
     }
+    forget_ask(loan);
     loans.remove(index);
 }
 
--- a/src/routing/loan_book.hpp
+++ b/src/routing/loan_book.hpp
@@ -17,6 +17,9 @@
     std::uint32_t service = no_index;
     std::uint32_t lender = no_index;
     std::uint32_t upstream = no_index;
+    /// Request on behalf of which it was asked for, by row and serial number.
+    std::uint32_t request = no_index;
+    std::uint64_t request_serial = 0;
     base::time_point asked_at;
     /// No attempt may start on the slot at or after this time.
     base::time_point expires;
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -50,6 +50,10 @@
     {
         return ejected_ && probe_ready_ && !probe_running_;
     }
+    bool probe_running() const noexcept
+    {
+        return probe_running_;
+    }
     void allow_probe() noexcept
     {
         probe_ready_ = true;
--- a/src/routing/request_queue.hpp
+++ b/src/routing/request_queue.hpp
@@ -14,14 +14,18 @@
 /// One waiting request. `request` is an index into the dispatcher's table of requests.
 struct queue_entry
 {
-    std::uint32_t weight = 0;
+    /// Entries of higher priority are served first.
+    std::uint32_t priority = 0;
+    /// Entries of lower rank are given up first when the queue is too long.
+    std::uint32_t rank = 0;
     std::uint32_t request = 0;
-    base::time_point deadline;
+    /// Latest time at which it may start.
+    base::time_point until;
     base::duration expected_service{};
 };
 
-/// Bounded queue of one service: heavier requests first, and by deadline among equal weights. A
-/// sorted vector is faster than a tree at the few hundred entries that the bound allows.
+/// Bounded queue of one service, by priority and by latest start within a priority. A sorted vector
+/// is faster than a tree at the few hundred entries that the bound allows.
 class request_queue
 {
 public:
@@ -86,9 +90,26 @@
         return total;
     }
 
+    /// Returns the position of the entry of the lowest rank below `it.rank` that would be served
+    /// before `it`, the latest of them, or `size()` when there is none.
+    std::size_t least_before(queue_entry const& it) const noexcept
+    {
+        std::size_t found = entries_.size();
+        auto rank = it.rank;
+        for (std::size_t n = 0; n < entries_.size() && !before(it, entries_[n]); ++n)
+        {
+            if (entries_[n].rank < rank || (found != entries_.size() && entries_[n].rank == rank))
+            {
+                found = n;
+                rank = entries_[n].rank;
+            }
+        }
+        return found;
+    }
+
     static bool before(queue_entry const& a, queue_entry const& b) noexcept
     {
-        return a.weight != b.weight ? a.weight > b.weight : a.deadline < b.deadline;
+        return a.priority != b.priority ? a.priority > b.priority : a.until < b.until;
     }
 
 private:
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -155,21 +155,12 @@
         auto const n = service.usable[(first + step) % count];
         auto const& up = upstreams[n];
         std::uint32_t loan = no_index;
-        if (n == avoid || !takes_work(up) || is_refused(up.place) ||
+        if (n == avoid || !takes_work(up) || up.health.ejected() || is_refused(up.place) ||
             (wants_target && up.place != request.target) || !has_slot(n, now, loan) ||
             (kind.is_long && !admits_long(service, up, loan != no_index)))
         {
             continue;
         }
-        if (up.health.ejected())
-        {
-            if (up.health.probe_ready() && kind.idempotent && !kind.is_long &&
-                request.attempts_made == 0)
-            {
-                return choice{n, loan, true};
-            }
-            continue;
-        }
         auto const cost = cost_of(up, kind, request.size).total();
         if (cost > best_cost || (cost == best_cost && up.in_use >= best_in_use) ||
             (up.place != request.target &&
@@ -184,6 +175,28 @@
     return best;
 }
 
+std::optional<dispatcher::state::choice> dispatcher::state::probe_for(service_row const& service,
+                                                                      request_row const& request,
+                                                                      base::time_point now) const
+{
+    auto const& kind = service.classes[request.request_class];
+    if (service.ejected == 0 || !kind.idempotent || kind.is_long || now >= request.deadline)
+    {
+        return std::nullopt;
+    }
+    for (auto const n : service.usable)
+    {
+        auto const& up = upstreams[n];
+        // A probe stays in the home place, so that it needs no permit.
+        if (up.health.probe_ready() && up.place == service.home && takes_work(up) && owned(up) &&
+            up.settled && ledger.free(n) > 0)
+        {
+            return choice{n, no_index, true};
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<dispatcher::state::choice> dispatcher::state::choose(service_row const& service,
                                                                    request_row& request,
                                                                    std::uint32_t strictly_avoid,
--- a/src/routing/tables.hpp
+++ b/src/routing/tables.hpp
@@ -73,6 +73,8 @@
 struct class_row
 {
     std::uint32_t weight = 1;
+    /// Order in the queue; see `dispatcher::state::update_classes`.
+    std::uint32_t rank = 0;
     bool idempotent = false;
     bool is_long = false;
     base::duration deadline{};
@@ -106,6 +108,9 @@
     std::uint32_t borrower = no_index;
     std::uint64_t number = 0;
     base::time_point received;
+    /// Priority and latest start of the waiting request.
+    std::uint32_t priority = 0;
+    base::time_point until;
 };
 
 struct service_row
@@ -142,6 +147,8 @@
     std::uint32_t open_borrows = 0;
     std::uint32_t ejected = 0;
     std::uint32_t owned_slots = 0;
+    /// Slots in this entry's region per entry of the region.
+    std::uint32_t fair_slots = 0;
 };
 
 struct attempt_row
@@ -183,6 +190,8 @@
     bool gone = false;
     bool may_have_run = false;
     bool hedged = false;
+    /// A loan was asked for on behalf of this request.
+    bool asked = false;
 };
 
 } // namespace fuchsiaproxy::routing
--- a/src/routing/topology.cpp
+++ b/src/routing/topology.cpp
@@ -125,7 +125,7 @@
         if (n == service.classes.size())
         {
             service.classes.push_back(
-                {1, false, false, {}, {settings.assumed_service_time, settings.hedge_quantile}});
+                {1, 0, false, false, {}, {settings.assumed_service_time, settings.hedge_quantile}});
         }
         auto& kind = service.classes[n];
         kind.weight = from.classes[n].weight.value();
@@ -133,6 +133,7 @@
         kind.deadline = from.classes[n].deadline;
         service.largest_deadline = std::max(service.largest_deadline, kind.deadline);
     }
+    update_classes(service);
 }
 
 void dispatcher::state::configure_place(model::place const& from)
@@ -304,18 +305,26 @@
             service.owned_slots += owned(up) ? up.slots : 0;
         }
     }
+    auto const own_region = find_index(region_by_id, self.region);
+    auto const peers_in_region = static_cast<std::uint32_t>(std::count_if(
+        entries.begin(), entries.end(),
+        [&](auto const& it) { return it.live && !it.draining && it.region == own_region; }));
     for (auto& service : services)
     {
         rebuild_lenders(service);
         service.nearest = base::duration::max();
+        std::uint32_t region_slots = 0;
         for (auto const n : service.upstreams)
         {
             auto const& place = places[upstreams[n].place];
+            bool const in_region = zones[place.zone].region == own_region && !place.drained;
+            region_slots += in_region ? upstreams[n].slots : 0;
             if (upstreams[n].owner != no_index && !place.drained)
             {
                 service.nearest = std::min(service.nearest, place.round_trip);
             }
         }
+        service.fair_slots = region_slots / std::max(peers_in_region, 1U);
     }
 }
 
