Reserve the answer's buffer before a request is sent, and copy fields less

Without a free buffer an answer could not be read, and an order that ran was reported as broken. Now nothing is sent in that case.

--- a/src/callers/request_parser.cpp
+++ b/src/callers/request_parser.cpp
@@ -107,20 +107,6 @@
     out.service = base::service_id(std::string(segment));
 }
 
-http::fields without(http::fields const& all, std::string_view name)
-{
-    http::fields kept;
-    for (std::size_t n = 0; n < all.size(); ++n)
-    {
-        auto const it = all[n];
-        if (!http::same_token(it.name, name))
-        {
-            kept.add(it.name, it.value);
-        }
-    }
-    return kept;
-}
-
 } // namespace
 
 base::result<request_head> parse_request(http::message_head const& head)
@@ -150,7 +136,7 @@
         out.request_id = std::string(*id);
     }
     read_service(head.fields, out);
-    out.fields = without(http::end_to_end(head.fields), "Deadline-Ms");
+    out.fields = http::end_to_end(head.fields, "Deadline-Ms");
     if (!head.chunked)
     {
         out.content_length = head.content_length.value_or(0);
--- a/src/callers/server_test.cpp
+++ b/src/callers/server_test.cpp
@@ -88,6 +88,33 @@
     CHECK(starts_with(small.dialogue(head + std::string(20000, '0')), "HTTP/1.1 400"));
 }
 
+// Guards against a caller that gets no answer, or one without an outcome, for lack of memory.
+TEST(refused_requests, get_503_while_there_is_no_buffer)
+{
+    std::vector<http::pooled_buffer> taken;
+    while (path.buffers.in_use() < 1000)
+    {
+        taken.push_back(path.buffers.take());
+    }
+    auto const answer = path.dialogue(request_text(""));
+    CHECK(starts_with(answer, "HTTP/1.1 503"));
+    CHECK(answer.find("Request-Outcome: not-run\r\n") != std::string::npos);
+}
+
+// Guards against a server that is taken for listening although it is not.
+TEST(refused_requests, listening_fails_on_addresses_that_cannot_be_bound)
+{
+    for (std::string const address : {"", "localhost", "203.0.113.1"})
+    {
+        server_settings limits;
+        limits.at = model::endpoint{address, 0};
+        server it(path.io, path.timers, path.buffers, path.handler, limits);
+        auto const port = it.listen();
+        CHECK_FALSE(port.has_value());
+        CHECK(port.error().kind == base::error_kind::invalid_settings);
+    }
+}
+
 TEST_GROUP(slow_callers)
 {
     served path;
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -51,6 +51,17 @@
     text_.append(name).append(value);
 }
 
+void fields::reserve(std::size_t count, std::size_t bytes)
+{
+    text_.reserve(bytes);
+    spans_.reserve(count);
+}
+
+std::size_t fields::text_size() const noexcept
+{
+    return text_.size();
+}
+
 void fields::clear()
 {
     text_.clear();
@@ -122,7 +133,7 @@
                         });
 }
 
-fields end_to_end(fields const& all)
+fields end_to_end(fields const& all, std::string_view except)
 {
     std::string named;
     for (std::size_t n = 0; n < all.size(); ++n)
@@ -133,11 +144,14 @@
             named.append(it.value).append(",");
         }
     }
+    // Room for one or two fields that the entry adds.
     fields kept;
+    kept.reserve(all.size() + 2, all.text_size() + 64);
     for (std::size_t n = 0; n < all.size(); ++n)
     {
         auto const it = all[n];
-        if (!is_connection_field(it.name) && (named.empty() || !has_token(named, it.name)))
+        if (!is_connection_field(it.name) && !same_token(it.name, except) &&
+            (named.empty() || !has_token(named, it.name)))
         {
             kept.add(it.name, it.value);
         }
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -81,8 +81,8 @@
     return true;
 }
 
-/// Checks every field line of a head.
-head_error check_fields(std::string_view head, bool is_request)
+/// Checks every field line of a head and counts them.
+head_error check_fields(std::string_view head, bool is_request, std::size_t& count)
 {
     framing seen;
     auto line_begin = head.find("\r\n") + 2;
@@ -99,6 +99,7 @@
         }
         line_begin = line_end + 2;
     }
+    count = seen.fields;
     auto const bad_host = is_request && seen.hosts != 1;
     auto const bad_body = seen.lengths + seen.encodings > 1;
     return bad_host || bad_body ? head_error::malformed : head_error::none;
@@ -169,11 +170,13 @@
     head_error read_head(std::string_view text, bool without_body, message_head& out) override
     {
         out = message_head{};
-        auto const checked = check_fields(text, IsRequest);
+        std::size_t count = 0;
+        auto const checked = check_fields(text, IsRequest, count);
         if (checked != head_error::none)
         {
             return checked;
         }
+        out.fields.reserve(count, text.size());
         parser_.emplace(out);
         parser_->skip(without_body);
         error_code ec;
--- a/src/include/fuchsiaproxy/http/fields.hpp
+++ b/src/include/fuchsiaproxy/http/fields.hpp
@@ -28,6 +28,12 @@
     /// Appends a field. Preconditions: `name` is a token and `value` has no control characters.
     void add(std::string_view name, std::string_view value);
 
+    /// Makes room for `count` fields with `bytes` of text, so that adding them allocates nothing.
+    void reserve(std::size_t count, std::size_t bytes);
+
+    /// Returns the bytes of all names and values.
+    std::size_t text_size() const noexcept;
+
     /// Removes every field.
     void clear();
 
@@ -66,8 +72,8 @@
 
 /// Returns the fields that are meant for the far end: without those that RFC 9110 limits to one
 /// connection, those that `Connection` names, and those that describe the framing of the body,
-/// which each connection states anew. Thread safe.
-fields end_to_end(fields const& all);
+/// which each connection states anew. `except` is left out too. Thread safe.
+fields end_to_end(fields const& all, std::string_view except = {});
 
 /// Appends `name: value` and a line end to `out`. Thread safe.
 void append_field(std::string& out, std::string_view name, std::string_view value);
--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -64,7 +64,7 @@
 struct answer_head
 {
     unsigned status = 0;
-    /// End-to-end fields.
+    /// As received; `http::end_to_end` gives those for the caller.
     http::fields fields;
     /// Absent for a chunked body. An answer to HEAD states the size of a body that does not come.
     std::optional<std::uint64_t> content_length;
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -18,15 +18,7 @@
 /// is never taken from an upstream.
 http::fields for_caller(http::fields const& all)
 {
-    http::fields out;
-    for (std::size_t n = 0; n < all.size(); ++n)
-    {
-        auto const it = all[n];
-        if (!http::same_token(it.name, "Request-Outcome"))
-        {
-            out.add(it.name, it.value);
-        }
-    }
+    auto out = http::end_to_end(all, "Request-Outcome");
     out.add("Request-Outcome", base::name_of(base::request_outcome::run));
     return out;
 }
--- a/src/relay/request_body.cpp
+++ b/src/relay/request_body.cpp
@@ -56,7 +56,7 @@
 {
     while (!ended_ && full() && dropped_ + http::buffer_bytes <= offset)
     {
-        blocks_.pop_front();
+        blocks_.erase(blocks_.begin());
         dropped_ += http::buffer_bytes;
     }
 }
--- a/src/relay/request_body.hpp
+++ b/src/relay/request_body.hpp
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <vector>
 
 #include "fuchsiaproxy/callers/exchange.hpp"
 #include "fuchsiaproxy/http/buffer_pool.hpp"
@@ -56,7 +56,7 @@
     void fail(base::error_kind kind);
 
     http::buffer_pool& buffers_;
-    std::deque<http::pooled_buffer> blocks_;
+    std::vector<http::pooled_buffer> blocks_;
     std::uint64_t dropped_ = 0;
     std::uint64_t size_ = 0;
     bool ended_ = false;
--- a/src/upstreams/client_test.cpp
+++ b/src/upstreams/client_test.cpp
@@ -352,6 +352,21 @@
     CHECK_EQUAL(std::string(), path.upstream.peers[0]->text());
 }
 
+// Guards against a request that is sent although its answer could not be read.
+TEST(attempt_ends, nothing_is_sent_without_a_buffer_for_the_answer)
+{
+    std::vector<http::pooled_buffer> taken;
+    while (path.buffers.in_use() < 100)
+    {
+        taken.push_back(path.buffers.take());
+    }
+    auto const id = path.start("POST");
+    CHECK(path.report(id).result == attempt_result::not_sent);
+    CHECK(path.until([&]()
+                     { return !path.upstream.peers.empty() && path.upstream.peers[0]->ended(); }));
+    CHECK_EQUAL(std::string(), path.upstream.peers[0]->text());
+}
+
 TEST_GROUP(upstream_pools)
 {
     path_to_upstream path;
--- a/src/upstreams/running_attempt.cpp
+++ b/src/upstreams/running_attempt.cpp
@@ -18,6 +18,11 @@
 using base::attempt_result;
 using boost::system::error_code;
 
+// Text of a request's head besides target, names and values: ": " and the line end of each field,
+// and the start line, Deadline-Ms, framing and a chunk header.
+constexpr std::size_t field_overhead = 4;
+constexpr std::size_t head_reserve = 128;
+
 bool would_block(error_code const& ec)
 {
     return ec == asio::error::would_block || ec == asio::error::try_again;
@@ -115,6 +120,14 @@
 
 void running_attempt::send()
 {
+    // Taken before anything is sent: without it the answer could not be read, and the outcome would
+    // be unknown.
+    buffer_ = core_->buffers.take();
+    if (!buffer_)
+    {
+        finish(attempt_result::not_sent);
+        return;
+    }
     // The process may have been frozen since the attempt was decided.
     if (request_.deadline - core_->timers.now() < std::chrono::milliseconds(1))
     {
@@ -136,6 +149,8 @@
 {
     body_offset_ = 0;
     auto& text = writer_.begin();
+    text.reserve(request_.target.size() + request_.fields.text_size() +
+                 request_.fields.size() * field_overhead + head_reserve);
     text.append(request_.method).append(" ").append(request_.target).append(" HTTP/1.1\r\n");
     http::append_fields(text, request_.fields);
     auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(request_.deadline -
@@ -242,16 +257,6 @@
 /// or broken.
 bool running_attempt::fill()
 {
-    if (!buffer_)
-    {
-        buffer_ = core_->buffers.take();
-        begin_ = end_ = 0;
-    }
-    if (!buffer_)
-    {
-        break_off();
-        return false;
-    }
     if (begin_ > 0)
     {
         std::memmove(buffer_.data(), buffer_.data() + begin_, end_ - begin_);
