operators: bound the nesting of bodies; keep drains and shifts on apply

A body of brackets reached the recursive writer of the JSON library before authentication of a bootstrap; bodies deeper than 32 levels are refused now. The new rows of http_api cover both places.

diff_of removed drains and shifts that the folder does not declare, so apply would have sent traffic back to a drained place.

--- a/src/include/fuchsiaproxy/model/change.hpp
+++ b/src/include/fuchsiaproxy/model/change.hpp
@@ -58,6 +58,8 @@
 /// Returns the changes that make the part of `current` that belongs to `organisation` equal to what
 /// `declared` says. What belongs to other members is left alone, zones are only added or changed,
 /// and joins are not touched. The delays are included while `organisation` is the only member.
+/// Drains and shifts are added and changed, and removed only with their places: they are ended by
+/// commands, so that a declaration does not send traffic back to a place that is being repaired.
 /// Thread safe.
 std::vector<change> diff_of(base::organisation_id const& organisation, configuration const& current,
                             configuration const& declared);
--- a/src/model/apply_change_test.cpp
+++ b/src/model/apply_change_test.cpp
@@ -152,6 +152,21 @@
     CHECK_EQUAL(std::string("remove place \"s-b\""), describe(changes[0], current));
 }
 
+// Guards against a declaration that ends a drain or a shift, and one that cannot be applied because
+// a removed place is still drained.
+TEST(changes, a_declaration_ends_drains_and_shifts_only_with_their_places)
+{
+    auto current = two_members();
+    current.drains = {test::drain_of("s-a", "one")};
+    current.shifts = {test::shift_of("s-a", "s-b", 10)};
+    auto declared = two_members();
+    CHECK(diff_of(organisation_id("one"), current, declared).empty());
+    declared.places.erase(declared.places.begin());
+    auto const changes = diff_of(organisation_id("one"), current, declared);
+    CHECK_EQUAL(std::size_t{3}, changes.size());
+    CHECK(apply_change(head_of(current), current, command_of("1", "one", 1, changes)).has_value());
+}
+
 // Guards against changes of what belongs to another organisation, directly or by a reference.
 TEST(changes, what_belongs_to_another_organisation_is_refused)
 {
--- a/src/model/change.cpp
+++ b/src/model/change.cpp
@@ -91,6 +91,28 @@
     items = std::move(kept);
 }
 
+/// Keeps the drains and shifts of `current` that `target` does not declare, unless their places are
+/// removed.
+void keep_operations(configuration const& current, configuration& target)
+{
+    auto const has_place = [&target](base::place_id const& id)
+    { return find(target.places, id) != nullptr; };
+    for (auto const& it : current.drains)
+    {
+        if (find(target.drains, it.id) == nullptr && has_place(it.place))
+        {
+            target.drains.push_back(it);
+        }
+    }
+    for (auto const& it : current.shifts)
+    {
+        if (find(target.shifts, it.id) == nullptr && has_place(it.from) && has_place(it.to))
+        {
+            target.shifts.push_back(it);
+        }
+    }
+}
+
 struct encoder
 {
     template <class T>
@@ -285,6 +307,7 @@
     keep_foreign<cap>(organisation, current, target);
     keep_foreign<shift>(organisation, current, target);
     keep_foreign<drain>(organisation, current, target);
+    keep_operations(current, target);
     return diff(current, target);
 }
 
--- a/src/operators/api_json.cpp
+++ b/src/operators/api_json.cpp
@@ -13,9 +13,32 @@
 using base::make_error;
 using nlohmann::json;
 
+// The deepest valid body has 8 levels.
+constexpr int max_depth = 32;
+
+/// Error of a part of a body, with the path from the root of the body.
+base::error error_below(std::string const& path, base::error const& it)
+{
+    bool const has_path = !it.message.empty() && it.message.front() == '/';
+    return make_error(it.kind, path + (has_path ? "" : ": ") + it.message);
+}
+
 base::result<json> parse_object(std::string_view text, std::vector<std::string> const& names)
 {
-    auto document = json::parse(text, nullptr, false);
+    // Writing a value recurses, so a body of brackets would exhaust the stack.
+    bool too_deep = false;
+    auto const check_depth = [&too_deep](int depth, json::parse_event_t, json const&)
+    {
+        too_deep = too_deep || depth > max_depth;
+        return !too_deep;
+    };
+    auto document = json::parse(text, check_depth, false);
+    if (too_deep)
+    {
+        return make_error(error_kind::bad_request, "/: expected at most " +
+                                                       std::to_string(max_depth) +
+                                                       " levels of nesting");
+    }
     if (!document.is_object())
     {
         return make_error(error_kind::bad_request, "/: expected a JSON object");
@@ -167,7 +190,7 @@
     auto changes = model::parse_changes(document["changes"].dump());
     if (!changes)
     {
-        return make_error(changes.error().kind, "/changes" + changes.error().message);
+        return error_below("/changes", changes.error());
     }
     out.changes = std::move(changes).value();
     return out;
@@ -182,7 +205,7 @@
     auto first = model::parse_configuration(document["configuration"].dump());
     if (!first)
     {
-        return make_error(first.error().kind, "/configuration" + first.error().message);
+        return error_below("/configuration", first.error());
     }
     out.first = std::move(first).value();
     return out;
--- a/src/operators/http_api_test.cpp
+++ b/src/operators/http_api_test.cpp
@@ -100,6 +100,10 @@
              row{"POST", "/v1/changes", key, change("c", "7", removal), 409, "conflict"},
              row{"POST", "/v1/changes", key, change("c", "1", R"([{"remove":{"place":"two-a"}}])"),
                  403, "belongs to"},
+             row{"POST", "/v1/bootstrap", key, std::string(9'000, '['), 400, "levels of nesting"},
+             row{"POST", "/v1/bootstrap", key,
+                 R"({"command":"c","configuration":)" + std::string(9'000, '['), 400,
+                 "levels of nesting"},
              row{"POST", "/v1/changes", key, std::string(30'000, ' '), 413, "at most 20000 bytes"},
          })
     {
