Encode the class and the wait of a borrow

Cause: the message gained fields that the codec did not know; a scenario drew a new upstream for each comparison. Change: the codec writes and reads them; the scenario draws once. Conclusion: messages and codec agree.

--- a/scripts/loopback/scenarios.py
+++ b/scripts/loopback/scenarios.py
@@ -205,7 +205,8 @@
     service = ordered_service(deployment)
     ids = [it["id"] for place in deployment.places if place["service"] == service
            for it in place["upstreams"]]
-    spec = next(it for it in deployment.upstream_specs if it["id"] == rng.choice(ids))
+    chosen = rng.choice(ids)
+    spec = next(it for it in deployment.upstream_specs if it["id"] == chosen)
     deployment.register(spec["id"], "upstream", spec["listen"], "leaving")
     time.sleep(LEAVING_LIMIT_S + deployment.list_lag_s)
     first = http("GET", f"http://{spec['listen']}/control/counters")["received"]
--- a/src/peers/message_fields.hpp
+++ b/src/peers/message_fields.hpp
@@ -187,6 +187,8 @@
         visit("number", it.number);
         visit("service", it.service);
         visit("slots", it.slots);
+        visit("request_class", it.request_class);
+        visit("waited", it.waited);
     }
 };
 
--- a/src/peers/message_samples.hpp
+++ b/src/peers/message_samples.hpp
@@ -39,7 +39,7 @@
         done{"v1.e1.5.e2.6.1.n", 200},
         resolve{"v1.e1.5.e2.6.1.n"},
         resolution{"v1.e1.5.e2.6.1.n", request_state::done, 201},
-        borrow{11, base::service_id("orders"), 3},
+        borrow{11, base::service_id("orders"), 3, 1, std::chrono::milliseconds(4)},
         lend{11, upstream, 2, std::chrono::milliseconds(1500)},
         give_back{11, upstream, 2},
         share_request{cap, 100},
