Put the caps in force: shares, reservations and gates in the engine

Cause: every move was permitted; the limits were not connected.

Ruled out: a write of the reservations by both hubs of a zone; it is safe, but each would fail half of the other's writes. The first hub writes.

Change: engine::share_keeper holds gates, shares and, at the first hub, the reservations; platform::share_store keeps them under shares/<zone> by CAS.

Conclusion: a move needs a share of every matching cap.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -35,10 +35,11 @@
 } // namespace
 
 engine::engine(engine_settings const& settings, messages::entry_info const& self,
-               std::uint64_t seed, routing::move_permit& permit, base::time_point now)
+               std::uint64_t seed, base::time_point now)
     : settings_(settings), fleet_(settings.fleet, self, now),
       claims_({self.id, self.incarnation}, settings.claims, now),
-      dispatcher_({self.id, self.region, self.zone}, seed, permit, settings.routing)
+      shares_({self.id, self.incarnation}, self.zone),
+      dispatcher_({self.id, self.region, self.zone}, seed, shares_, settings.routing)
 {
     dispatcher_.set_entries(fleet_.live_entries(), now);
 }
--- a/src/engine/engine_fleet.cpp
+++ b/src/engine/engine_fleet.cpp
@@ -88,6 +88,7 @@
     requests::claim_actions claim_actions;
     claims_.on_message({it.from, it.incarnation}, it.body, now, claim_actions);
     apply(claim_actions, now, out);
+    shares_.on_message(it, now, out);
     fleet::fleet_actions fleet_actions;
     fleet_.on_message(it, now, fleet_actions);
     apply(fleet_actions, now, out);
@@ -115,6 +116,7 @@
     {
         services_[it.id] = service_state{offered, &it};
     }
+    shares_.on_configuration(*offered, now, out);
     dispatcher_.configure(*offered, now);
     fleet::fleet_actions actions;
     fleet_.on_adopted(offered->version, std::move(document), now, actions);
@@ -131,6 +133,12 @@
     {
         fleet_.on_upstream_leaving(it, now, actions);
     }
+    std::set<base::instance_id> listed;
+    for (auto const& it : entries)
+    {
+        listed.insert(it.id);
+    }
+    shares_.on_instances(listed, now);
     fleet_.on_seeds(entries, now, actions);
     apply(actions, now, out);
 }
@@ -217,6 +225,16 @@
                                dispatcher_.explain(service, index, base::byte_count(), now)};
 }
 
+void engine::on_shares_loaded(limits::share_document document, base::time_point now)
+{
+    shares_.on_loaded(std::move(document), now);
+}
+
+void engine::on_shares_stored(bool committed, engine_actions& out)
+{
+    shares_.on_stored(committed, out);
+}
+
 void engine::drain()
 {
     draining_ = true;
@@ -294,6 +312,8 @@
     fleet::fleet_actions fleet_actions;
     fleet_.tick(now, fleet_actions);
     apply(fleet_actions, now, out);
+    shares_.set_hub(fleet_.first_hub());
+    shares_.tick(now, out);
     requests::claim_actions claim_actions;
     claims_.tick(now, claim_actions);
     apply(claim_actions, now, out);
--- a/src/engine/engine_test.cpp
+++ b/src/engine/engine_test.cpp
@@ -18,16 +18,6 @@
 namespace
 {
 
-class allow_all final : public routing::move_permit
-{
-public:
-    bool try_move(base::place_id const&, base::place_id const&, base::byte_count,
-                  base::time_point) override
-    {
-        return true;
-    }
-};
-
 std::shared_ptr<model::configuration const> make_configuration()
 {
     auto made = std::make_shared<model::configuration>();
@@ -83,8 +73,7 @@
         self.zone = base::availability_zone_id(zone);
         self.caller_address = id + ":80";
         self.peer_address = id + ":81";
-        engines[id] =
-            std::make_unique<engine::engine>(engine::engine_settings{}, self, 7, permit, now);
+        engines[id] = std::make_unique<engine::engine>(engine::engine_settings{}, self, 7, now);
         seeds.push_back({self.id, self.peer_address});
         perform(id, [&](auto& it, auto& out)
                 { it.on_configuration(make_configuration(), "{}", now, out); });
@@ -189,7 +178,6 @@
     std::set<std::string> cut_off;
     std::map<base::local_request_id, engine::answer_error> answers;
     std::vector<engine::start_attempt> attempts;
-    allow_all permit;
     base::time_point now{1h};
     std::uint64_t next_request = 0;
 
@@ -311,7 +299,7 @@
 {
     messages::entry_info self;
     self.id = base::instance_id("new");
-    engine::engine it({}, self, 1, setup_.permit, setup_.now);
+    engine::engine it({}, self, 1, setup_.now);
     engine::arrived_request request;
     request.id = base::local_request_id(1);
     request.service = base::service_id("orders");
--- a/src/include/fuchsiaproxy/engine/engine.hpp
+++ b/src/include/fuchsiaproxy/engine/engine.hpp
@@ -18,13 +18,13 @@
 #include "fuchsiaproxy/base/units.hpp"
 #include "fuchsiaproxy/engine/engine_action.hpp"
 #include "fuchsiaproxy/engine/service_levels.hpp"
+#include "fuchsiaproxy/engine/share_keeper.hpp"
 #include "fuchsiaproxy/fleet/fleet_node.hpp"
 #include "fuchsiaproxy/messages/messages.hpp"
 #include "fuchsiaproxy/model/adoption.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "fuchsiaproxy/requests/claim_protocol.hpp"
 #include "fuchsiaproxy/routing/dispatcher.hpp"
-#include "fuchsiaproxy/routing/move_permit.hpp"
 
 namespace fuchsiaproxy::engine
 {
@@ -77,9 +77,9 @@
 {
 public:
     /// Creates the engine of the entry `self`; `self.incarnation` is greater than that of every
-    /// earlier process of the instance. `permit` must outlive the engine.
+    /// earlier process of the instance.
     engine(engine_settings const& settings, messages::entry_info const& self, std::uint64_t seed,
-           routing::move_permit& permit, base::time_point now);
+           base::time_point now);
 
     /// Takes a request. Precondition: its id was not used before.
     void on_request(arrived_request const& it, base::time_point now, engine_actions& out);
@@ -117,6 +117,12 @@
                       std::vector<base::upstream_id> const& leaving, base::time_point now,
                       engine_actions& out);
 
+    /// Takes the share reservations that `load_shares` asked for.
+    void on_shares_loaded(limits::share_document document, base::time_point now);
+
+    /// Takes the end of `store_shares`; `committed` only if the store confirmed the write.
+    void on_shares_stored(bool committed, engine_actions& out);
+
     /// Marks this entry as draining: look-ups stop naming it.
     void drain();
 
@@ -159,6 +165,12 @@
         return claims_;
     }
 
+    /// Returns the shares of the caps.
+    share_keeper const& shares() const noexcept
+    {
+        return shares_;
+    }
+
     /// Returns the counts for the burn report.
     service_levels& levels() noexcept
     {
@@ -230,6 +242,7 @@
     std::unordered_map<base::service_id, service_state> services_;
     fleet::fleet_node fleet_;
     requests::claim_protocol claims_;
+    share_keeper shares_;
     routing::dispatcher dispatcher_;
     service_levels levels_;
     request_map requests_;
--- a/src/include/fuchsiaproxy/engine/engine_action.hpp
+++ b/src/include/fuchsiaproxy/engine/engine_action.hpp
@@ -9,6 +9,7 @@
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/limits/share_document.hpp"
 #include "fuchsiaproxy/messages/messages.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 
@@ -83,7 +84,7 @@
 
 using engine_action =
     std::variant<start_attempt, cancel_attempt, answer_error, send_message, use_address,
-                 hub_role_changed, parse_configuration, upstream_left>;
+                 hub_role_changed, parse_configuration, upstream_left, load_shares, store_shares>;
 using engine_actions = std::vector<engine_action>;
 
 } // namespace fuchsiaproxy::engine
--- a/src/include/fuchsiaproxy/fleet/fleet_node.hpp
+++ b/src/include/fuchsiaproxy/fleet/fleet_node.hpp
@@ -113,6 +113,12 @@
     /// Sends what is due, drops lost entries. Call at least four times per heartbeat period.
     void tick(base::time_point now, fleet_actions& out);
 
+    /// Returns the first hub of this entry's availability zone; empty before the first `tick`.
+    base::instance_id first_hub() const
+    {
+        return hubs_.empty() ? base::instance_id() : hubs_.front();
+    }
+
     /// Returns the hubs of all availability zones that are known, without this entry.
     std::vector<base::instance_id> all_hubs() const;
 
--- a/src/include/fuchsiaproxy/runtime/events.hpp
+++ b/src/include/fuchsiaproxy/runtime/events.hpp
@@ -9,6 +9,7 @@
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/engine/engine.hpp"
+#include "fuchsiaproxy/limits/share_document.hpp"
 #include "fuchsiaproxy/messages/messages.hpp"
 #include "fuchsiaproxy/platform/configuration_reader.hpp"
 #include "fuchsiaproxy/platform/instance_list.hpp"
@@ -34,6 +35,18 @@
     std::vector<platform::listed_instance> instances;
 };
 
+/// The share reservations of the availability zone were read.
+struct shares_loaded
+{
+    limits::share_document document;
+};
+
+/// A write of the share reservations ended.
+struct shares_stored
+{
+    bool committed = false;
+};
+
 /// A question to the engine, answered on the traffic thread.
 struct engine_query
 {
@@ -42,7 +55,7 @@
 
 /// What other threads tell the traffic thread.
 using traffic_event = std::variant<peer_message, peer_lost, platform::accepted_configuration,
-                                   instances_read, engine_query>;
+                                   instances_read, shares_loaded, shares_stored, engine_query>;
 
 /// Send a message to an entry.
 struct peer_send
@@ -79,8 +92,22 @@
 {
 };
 
+/// Read the share reservations of an availability zone.
+struct read_shares
+{
+    base::availability_zone_id zone;
+};
+
+/// Write the share reservations of an availability zone.
+struct write_shares
+{
+    base::availability_zone_id zone;
+    limits::share_document document;
+};
+
 /// What the traffic thread tells the platform thread.
-using platform_order = std::variant<hub_role, parse_document, configuration_known>;
+using platform_order =
+    std::variant<hub_role, parse_document, configuration_known, read_shares, write_shares>;
 
 } // namespace fuchsiaproxy::runtime
 
--- a/src/include/fuchsiaproxy/runtime/platform_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/platform_loop.hpp
@@ -10,6 +10,7 @@
 
 #include "fuchsiaproxy/platform/configuration_reader.hpp"
 #include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/platform/share_store.hpp"
 #include "fuchsiaproxy/runtime/asio_timer_service.hpp"
 #include "fuchsiaproxy/runtime/events.hpp"
 #include "fuchsiaproxy/settings/daemon_settings.hpp"
@@ -39,7 +40,10 @@
     void handle_one(hub_role const& it);
     void handle_one(parse_document const& it);
     void handle_one(configuration_known const& it);
+    void handle_one(read_shares const& it);
+    void handle_one(write_shares const& it);
     void read_instances();
+    void report_stored(bool committed);
     void deliver(platform::accepted_configuration it);
 
     asio_timer_service timers_;
@@ -47,7 +51,9 @@
     std::unique_ptr<platform::instance_list> list_;
     std::function<bool(traffic_event)> to_traffic_;
     platform::configuration_reader reader_;
+    platform::share_store shares_;
     std::unique_ptr<base::timer_subscription> list_timer_;
+    std::unique_ptr<base::timer_subscription> stored_report_;
     /// Configuration that the full ring of the traffic thread refused.
     std::optional<platform::accepted_configuration> undelivered_;
     bool is_hub_ = false;
--- a/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
@@ -46,10 +46,9 @@
 class traffic_loop final : public relay::relay_events
 {
 public:
-    /// `io` is run by the traffic thread only, and must outlive the loop; so must `permit`.
+    /// `io` is run by the traffic thread only, and must outlive the loop.
     traffic_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
-                 messages::entry_info const& self, std::uint64_t seed, routing::move_permit& permit,
-                 traffic_outputs outputs);
+                 messages::entry_info const& self, std::uint64_t seed, traffic_outputs outputs);
     ~traffic_loop() override;
 
     traffic_loop(traffic_loop const&) = delete;
@@ -104,6 +103,8 @@
     void handle_one(peer_lost& it, engine::engine_actions& out);
     void handle_one(platform::accepted_configuration& it, engine::engine_actions& out);
     void handle_one(instances_read& it, engine::engine_actions& out);
+    void handle_one(shares_loaded& it, engine::engine_actions& out);
+    void handle_one(shares_stored& it, engine::engine_actions& out);
     void handle_one(engine_query& it, engine::engine_actions& out);
 
     void perform(engine::engine_actions& actions);
@@ -115,6 +116,8 @@
     void perform_one(engine::hub_role_changed& it);
     void perform_one(engine::parse_configuration& it);
     void perform_one(engine::upstream_left& it);
+    void perform_one(engine::load_shares& it);
+    void perform_one(engine::store_shares& it);
 
     void answer_look_up(callers::request_head const& head);
     void schedule_tick();
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -69,17 +69,6 @@
     return self;
 }
 
-// Permits every move until the caps of the configuration are known to the limits.
-class permit_all final : public routing::move_permit
-{
-public:
-    bool try_move(base::place_id const&, base::place_id const&, base::byte_count,
-                  base::time_point) override
-    {
-        return true;
-    }
-};
-
 } // namespace
 
 class daemon::impl
@@ -95,7 +84,7 @@
           peers_thread_(settings_.limits.ring_items,
                         [this](peer_order it) { peers_.handle(std::move(it)); }),
           operators_thread_(settings_.limits.ring_items, [](operators_order const&) {}),
-          traffic_(traffic_thread_.io(), settings_, self_, seed_, permit_, outputs()),
+          traffic_(traffic_thread_.io(), settings_, self_, seed_, outputs()),
           platform_(platform_thread_.io(), settings_.platform, platform_counters_, to_traffic()),
           peers_(peers_thread_.io(), settings_, self_, seed_, to_traffic()),
           operators_(operators_thread_.io(), settings_, platform_counters_, to_traffic(),
@@ -214,7 +203,6 @@
     messages::entry_info self_;
     telemetry::state_log log_;
     telemetry::metrics metrics_;
-    permit_all permit_;
     std::shared_ptr<platform::platform_counters> platform_counters_ =
         std::make_shared<platform::platform_counters>();
     duty_thread<traffic_event> traffic_thread_;
--- a/src/runtime/platform_loop.cpp
+++ b/src/runtime/platform_loop.cpp
@@ -13,6 +13,9 @@
 // Only hubs, and entries that know no configuration yet, read the list at this period.
 constexpr base::duration list_period = std::chrono::seconds(1);
 
+// Pause before an event that a full ring refused is offered again.
+constexpr base::duration report_pause = std::chrono::milliseconds(50);
+
 platform::http_timeouts timeouts_of(settings::platform_settings const& it)
 {
     platform::http_timeouts made;
@@ -37,7 +40,8 @@
                                               timeouts_of(settings), counters)),
       to_traffic_(std::move(to_traffic)),
       reader_(*store_, timers_,
-              [this](platform::accepted_configuration it) { deliver(std::move(it)); })
+              [this](platform::accepted_configuration it) { deliver(std::move(it)); }),
+      shares_(*store_)
 {
 }
 
@@ -92,6 +96,35 @@
     knows_configuration_ = true;
 }
 
+void platform_loop::handle_one(read_shares const& it)
+{
+    shares_.load(it.zone,
+                 [this](base::result<limits::share_document> answer)
+                 {
+                     // A failed load is asked for again by the engine.
+                     if (answer)
+                     {
+                         to_traffic_(shares_loaded{std::move(answer).value()});
+                     }
+                 });
+}
+
+void platform_loop::handle_one(write_shares const& it)
+{
+    shares_.save(it.zone, it.document, [this](bool committed) { report_stored(committed); });
+}
+
+void platform_loop::report_stored(bool committed)
+{
+    if (to_traffic_(shares_stored{committed}))
+    {
+        return;
+    }
+    // The engine waits for this end before it writes again.
+    stored_report_ = timers_.at(timers_.now() + report_pause,
+                                [this](base::time_point) { report_stored(false); });
+}
+
 void platform_loop::deliver(platform::accepted_configuration it)
 {
     if (!to_traffic_(it))
--- a/src/runtime/traffic_loop.cpp
+++ b/src/runtime/traffic_loop.cpp
@@ -51,9 +51,9 @@
 
 traffic_loop::traffic_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
                            messages::entry_info const& self, std::uint64_t seed,
-                           routing::move_permit& permit, traffic_outputs outputs)
+                           traffic_outputs outputs)
     : settings_(settings), timers_(io), buffers_(settings.limits.buffers),
-      engine_(engine_settings_of(settings), self, seed, permit, timers_.now()),
+      engine_(engine_settings_of(settings), self, seed, timers_.now()),
       client_(io, timers_, buffers_, client_settings_of(settings)),
       relay_(io, buffers_, client_, *this),
       server_(io, timers_, buffers_, relay_, server_settings_of(settings)),
@@ -120,6 +120,16 @@
     engine_.on_instances(entries, leaving, timers_.now(), out);
 }
 
+void traffic_loop::handle_one(shares_loaded& it, engine::engine_actions&)
+{
+    engine_.on_shares_loaded(std::move(it.document), timers_.now());
+}
+
+void traffic_loop::handle_one(shares_stored& it, engine::engine_actions& out)
+{
+    engine_.on_shares_stored(it.committed, out);
+}
+
 void traffic_loop::handle_one(engine_query& it, engine::engine_actions&)
 {
     it.ask(engine_, timers_.now());
@@ -290,6 +300,24 @@
     client_.forget(it.at);
 }
 
+void traffic_loop::perform_one(engine::load_shares& it)
+{
+    if (!outputs_.to_platform(read_shares{it.zone}))
+    {
+        ++counters_.platform_ring_full;
+    }
+}
+
+void traffic_loop::perform_one(engine::store_shares& it)
+{
+    if (outputs_.to_platform(write_shares{it.zone, std::move(it.document)}))
+    {
+        return;
+    }
+    ++counters_.platform_ring_full;
+    handle(shares_stored{false});
+}
+
 void traffic_loop::schedule_tick()
 {
     auto const next = engine_.next_wakeup(timers_.now());
