Give watches connections of their own and bound the answers of the platform

Cause: four waiting watches took all connections of the store's client, so that the renewal of a lease would have waited for them. The response parser of Boost 1.74 accepted 1,001 bytes under a limit of 1,000 when header and body were read in one step; the request parser does not have this fault. The header is now read first.

--- a/src/include/fuchsiaproxy/platform/http_clients.hpp
+++ b/src/include/fuchsiaproxy/platform/http_clients.hpp
@@ -67,15 +67,16 @@
 /// within a call. Destroying the store abandons the calls in progress: their completions are not
 /// called. A value that is not UTF-8 fails with `bad_request`.
 /// Preconditions: `io` outlives the store; `counters` may be null.
-std::unique_ptr<store> make_http_store(boost::asio::io_context& io, http_endpoint endpoint,
-                                       http_timeouts timeouts = {},
-                                       std::shared_ptr<platform_counters> counters = nullptr);
+std::unique_ptr<store>
+make_http_store(boost::asio::io_context& io, http_endpoint const& endpoint,
+                http_timeouts timeouts = {},
+                std::shared_ptr<platform_counters> const& counters = nullptr);
 
 /// Creates a client of the platform's instance list. Rules as for `make_http_store`.
 std::unique_ptr<instance_list>
-make_http_instance_list(boost::asio::io_context& io, http_endpoint endpoint,
+make_http_instance_list(boost::asio::io_context& io, http_endpoint const& endpoint,
                         http_timeouts timeouts = {},
-                        std::shared_ptr<platform_counters> counters = nullptr);
+                        std::shared_ptr<platform_counters> const& counters = nullptr);
 
 } // namespace fuchsiaproxy::platform
 
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -299,6 +299,24 @@
     {
         call->parser.emplace();
         call->parser->body_limit(limits_.max_answer_bytes);
+        // The response parser of Boost 1.74 loses the error of the body limit when it reads header
+        // and body in one step.
+        http::async_read_header(call->conn->socket, call->conn->buffer, *call->parser,
+                                [self = shared_from_this(), call](error_code ec, std::size_t)
+                                { self->read_body(call, ec); });
+    }
+
+    void read_body(call_ptr const& call, error_code header_error)
+    {
+        if (call->finished)
+        {
+            return;
+        }
+        if (header_error)
+        {
+            finish_broken(call, "read: " + header_error.message());
+            return;
+        }
         http::async_read(call->conn->socket, call->conn->buffer, *call->parser,
                          [self = shared_from_this(), call](error_code ec, std::size_t)
                          {
--- a/src/platform/http_clients.cpp
+++ b/src/platform/http_clients.cpp
@@ -193,9 +193,9 @@
 class http_store final : public store
 {
 public:
-    http_store(boost::asio::io_context& io, http_endpoint endpoint, http_timeouts timeouts,
-               std::shared_ptr<platform_counters> counters)
-        : caller_(io, std::move(endpoint), timeouts, std::move(counters))
+    http_store(boost::asio::io_context& io, http_endpoint const& endpoint, http_timeouts timeouts,
+               std::shared_ptr<platform_counters> const& counters)
+        : caller_(io, endpoint, timeouts, counters), watcher_(io, endpoint, timeouts, counters)
     {
     }
 
@@ -244,8 +244,9 @@
         http_call call;
         call.target = "/v1/keys/" + escape(key) + "?watch=" + std::to_string(known.value()) +
                       "&wait_ms=" + std::to_string(milliseconds_of(wait));
-        call.deadline = wait + caller_.timeouts().watch_grace;
-        caller_.start<stored_value>(call_kind::watch, std::move(call), read_value, std::move(done));
+        call.deadline = wait + watcher_.timeouts().watch_grace;
+        watcher_.start<stored_value>(call_kind::watch, std::move(call), read_value,
+                                     std::move(done));
     }
 
     void acquire_lease(std::string name, std::string holder, base::duration ttl,
@@ -285,6 +286,8 @@
     }
 
     platform_caller caller_;
+    // Waiting watches have connections of their own, so that they cannot hold up the calls.
+    platform_caller watcher_;
 };
 
 std::vector<listed_instance> read_instances(json const& it)
@@ -306,9 +309,9 @@
 class http_instance_list final : public instance_list
 {
 public:
-    http_instance_list(boost::asio::io_context& io, http_endpoint endpoint, http_timeouts timeouts,
-                       std::shared_ptr<platform_counters> counters)
-        : caller_(io, std::move(endpoint), timeouts, std::move(counters))
+    http_instance_list(boost::asio::io_context& io, http_endpoint const& endpoint,
+                       http_timeouts timeouts, std::shared_ptr<platform_counters> const& counters)
+        : caller_(io, endpoint, timeouts, counters)
     {
     }
 
@@ -334,20 +337,19 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
-std::unique_ptr<store> make_http_store(boost::asio::io_context& io, http_endpoint endpoint,
+std::unique_ptr<store> make_http_store(boost::asio::io_context& io, http_endpoint const& endpoint,
                                        http_timeouts timeouts,
-                                       std::shared_ptr<platform_counters> counters)
+                                       std::shared_ptr<platform_counters> const& counters)
 {
-    return std::make_unique<http_store>(io, std::move(endpoint), timeouts, std::move(counters));
+    return std::make_unique<http_store>(
+        io, endpoint, timeouts, counters ? counters : std::make_shared<platform_counters>());
 }
 
-std::unique_ptr<instance_list> make_http_instance_list(boost::asio::io_context& io,
-                                                       http_endpoint endpoint,
-                                                       http_timeouts timeouts,
-                                                       std::shared_ptr<platform_counters> counters)
+std::unique_ptr<instance_list>
+make_http_instance_list(boost::asio::io_context& io, http_endpoint const& endpoint,
+                        http_timeouts timeouts, std::shared_ptr<platform_counters> const& counters)
 {
-    return std::make_unique<http_instance_list>(io, std::move(endpoint), timeouts,
-                                                std::move(counters));
+    return std::make_unique<http_instance_list>(io, endpoint, timeouts, counters);
 }
 
 } // namespace fuchsiaproxy::platform
--- /dev/null
+++ b/src/standin/http_client_test.cpp
@@ -0,0 +1,142 @@
+#include "fuchsiaproxy/platform/http_client.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "../testing/asio_runner.hpp"
+#include "fuchsiaproxy/standin/http_server.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using platform::http_call_state;
+using std::chrono::milliseconds;
+
+TEST_GROUP(http_client)
+{
+    boost::asio::io_context io;
+    std::vector<standin::exchange_ptr> exchanges;
+    standin::http_server server{
+        io, {"127.0.0.1", 0}, [this](auto const&, auto const& it) { exchanges.push_back(it); }};
+    std::vector<platform::http_answer> answers;
+
+    std::unique_ptr<platform::http_client> make_client(std::size_t connections, std::size_t queued)
+    {
+        platform::http_client_limits limits;
+        limits.max_connections = connections;
+        limits.max_queued = queued;
+        limits.max_answer_bytes = 1000;
+        return std::make_unique<platform::http_client>(io, server.endpoint(), limits);
+    }
+
+    void start(platform::http_client & client, base::duration deadline = std::chrono::seconds(15),
+               std::size_t body_bytes = 0)
+    {
+        platform::http_call call;
+        call.method = "PUT";
+        call.body = std::string(body_bytes, 'x');
+        call.deadline = deadline;
+        client.start(call, [this](platform::http_answer it) { answers.push_back(std::move(it)); });
+    }
+
+    void wait_for_answers(std::size_t n)
+    {
+        CHECK(testing::run_until(io, [this, n] { return answers.size() == n; }));
+    }
+
+    void wait_for_exchanges(std::size_t n)
+    {
+        CHECK(testing::run_until(io, [this, n] { return exchanges.size() == n; }));
+    }
+};
+
+// Guards against a call that waits for a connection beyond its deadline, and against "may have run"
+// for a call that was never sent.
+TEST(http_client, calls_that_wait_for_a_connection_end_at_their_deadline_unsent)
+{
+    auto const client = make_client(1, 1);
+    start(*client);
+    wait_for_exchanges(1);
+    start(*client, milliseconds(20));
+    start(*client, milliseconds(20));
+    wait_for_answers(2);
+    CHECK(answers[0].state == http_call_state::not_sent);
+    CHECK(answers[1].state == http_call_state::not_sent);
+    exchanges[0]->answer(200, "done");
+    wait_for_answers(3);
+    CHECK_EQUAL(std::string("done"), answers[2].body);
+    CHECK_EQUAL(1U, exchanges.size());
+}
+
+// Guards against a queued call that is never started.
+TEST(http_client, queued_calls_start_in_order_on_the_same_connection)
+{
+    auto const client = make_client(1, 5);
+    for (std::size_t n = 0; n < 5; ++n)
+    {
+        start(*client);
+    }
+    for (std::size_t n = 0; n < 5; ++n)
+    {
+        wait_for_exchanges(n + 1);
+        exchanges[n]->answer(200, std::to_string(n));
+    }
+    wait_for_answers(5);
+    CHECK_EQUAL(std::string("4"), answers[4].body);
+    CHECK_EQUAL(1U, client->counts().opened);
+}
+
+// Guards against "not sent" for a request whose first part arrived: the write is interrupted by
+// the deadline while the peer reads nothing.
+TEST(http_client, interrupted_write_counts_as_sent)
+{
+    boost::asio::io_context idle;
+    standin::http_server const unread(idle, {"127.0.0.1", 0}, [](auto const&, auto const&) {});
+    platform::http_client client(io, unread.endpoint(), {});
+    constexpr std::size_t more_than_socket_buffers = 64'000'000;
+    start(client, milliseconds(500), more_than_socket_buffers);
+    wait_for_answers(1);
+    CHECK(answers[0].state == http_call_state::sent_unanswered);
+    CHECK_EQUAL(1U, client.counts().silent);
+}
+
+// Guards against an answer without bound.
+TEST(http_client, answer_beyond_the_limit_fails)
+{
+    auto const client = make_client(1, 1);
+    start(*client);
+    wait_for_exchanges(1);
+    exchanges[0]->answer(200, std::string(1001, 'x'));
+    wait_for_answers(1);
+    CHECK(answers[0].state == http_call_state::sent_unanswered);
+    CHECK_EQUAL(1U, client->counts().failed);
+}
+
+// Guards against a request on a connection that the server closed while it was idle.
+TEST(http_client, connection_closed_by_the_server_is_not_used_again)
+{
+    auto const client = make_client(1, 1);
+    start(*client);
+    wait_for_exchanges(1);
+    exchanges[0]->answer(200, "");
+    wait_for_answers(1);
+    server.close_connections();
+    start(*client);
+    wait_for_exchanges(2);
+    exchanges[1]->answer(200, "");
+    wait_for_answers(2);
+    CHECK(answers[1].state == http_call_state::answered);
+    CHECK_EQUAL(2U, client->counts().opened);
+}
+
+// Guards against addresses that are read as something else.
+TEST(http_client, endpoints_are_read_strictly)
+{
+    CHECK_EQUAL(80, platform::parse_endpoint("10.0.0.1:80").port);
+    for (auto const* it : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:x", "10.0.0.1:65536", "1:123456"})
+    {
+        CHECK_EQUAL(0, platform::parse_endpoint(it).port);
+    }
+}
