Give each failure scenario a seed of its own; declare the share actions

Cause: scenarios that drew the same seed made callers with equal request ids, so an id of a lookup in one run came back as an order in the next, and 503 orders seemed to have run twice. The share actions were missing from a header.

Change: the seed of a scenario contains its name; engine_action.hpp declares load_shares and store_shares.

Measured before: 5,138 orders, 503 ids with more than one run.

--- a/scripts/loopback/scenarios.py
+++ b/scripts/loopback/scenarios.py
@@ -243,7 +243,8 @@
         if names and scenario.__name__ not in names:
             continue
         print(f"{deployment.name}: {scenario.__name__}", flush=True)
-        scenario(deployment, tally, random.Random(seed))
+        # A seed of its own for each scenario: callers with equal seeds would make equal request ids.
+        scenario(deployment, tally, random.Random(f"{seed}-{scenario.__name__}"))
         wait_until(lambda: all(deployment.is_ready(it) for it in deployment.entries.values()),
                    "all entries to be ready again", 60)
     return tally
--- a/src/include/fuchsiaproxy/engine/engine_action.hpp
+++ b/src/include/fuchsiaproxy/engine/engine_action.hpp
@@ -82,6 +82,21 @@
     model::endpoint at;
 };
 
+/// Read the share reservations of the availability zone and give them back with
+/// `engine::on_shares_loaded`; repeat until the store answers.
+struct load_shares
+{
+    base::availability_zone_id zone;
+};
+
+/// Write the share reservations by compare-and-swap on the revision that was read or written last,
+/// and report the end with `engine::on_shares_stored`.
+struct store_shares
+{
+    base::availability_zone_id zone;
+    limits::share_document document;
+};
+
 using engine_action =
     std::variant<start_attempt, cancel_attempt, answer_error, send_message, use_address,
                  hub_role_changed, parse_configuration, upstream_left, load_shares, store_shares>;
--- a/src/runtime/peer_loop.cpp
+++ b/src/runtime/peer_loop.cpp
@@ -18,6 +18,8 @@
     made.secret = it.peer_secret;
     made.silence_limit = it.timing.lost_after;
     made.ping_period = it.timing.heartbeat_period;
+    // A configuration of 1 MB fits; more would let a hub of 62 members pass its 128 MB.
+    made.max_queued_bytes = 1'200'000;
     made.backoff_seed = seed;
     return made;
 }
