Ask for a returned share at once when it is needed again

An entry that had returned a share waited up to 2 s before it asked again, because the amount it had asked for earlier still counted as asked.

--- a/src/limits/share_holder.cpp
+++ b/src/limits/share_holder.cpp
@@ -127,6 +127,8 @@
         return;
     }
     it.held = amount;
+    // What was asked for before is given up, so that a new need is asked for at once.
+    it.asked = std::min(it.asked, amount);
     actions.emplace_back(set_share{cap, amount});
     actions.emplace_back(send_to_hub{messages::share_return{cap, amount, it.revision}});
 }
