--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 8
 
-.PHONY: all build check lint format
+.PHONY: all build check lint format bench
 
 all: build
 
@@ -21,3 +21,6 @@
 
 format:
 	find src -name '*.cpp' -o -name '*.hpp' | xargs clang-format -i
+
+bench: build
+	$(BUILD)/src/policy_bench --json $(BUILD)/policy_bench.json
--- a/src/include/fuchsiaproxy/routing/settings.hpp
+++ b/src/include/fuchsiaproxy/routing/settings.hpp
@@ -42,7 +42,7 @@
     /// Share of a request's time to its deadline that it may be expected to wait in the queue.
     double queue_share = 0.7;
     /// Share of that wait at which requests of lower rank are refused to make room.
-    double shed_share = 0.8;
+    double shed_share = 0.7;
     /// Service time that is assumed before anything was measured.
     base::duration assumed_service_time = std::chrono::milliseconds(20);
     /// Rate of the links between regions, for the transfer time.
@@ -64,6 +64,9 @@
     base::duration contended_validity = std::chrono::milliseconds(100);
     /// An unused lent slot is given back after this time.
     base::duration loan_linger = std::chrono::milliseconds(3);
+    /// An entry that already uses its fair share of the slots asks for more only for requests that
+    /// have waited this long: a slot is idle while it changes hands.
+    base::duration wait_before_borrowing = std::chrono::milliseconds(10);
     /// A lender that refused or did not answer is not asked again for this time.
     base::duration lender_pause = std::chrono::milliseconds(20);
     /// Longest time that an owner keeps a request for a slot that it cannot fulfil.
@@ -76,7 +79,7 @@
     base::duration open_borrow_penalty = std::chrono::milliseconds(2);
     /// A slot is lent to another zone before it is used for the own queue only if the borrower has
     /// waited longer than the own request by this time: each exchange across zones costs slot time.
-    base::duration exchange_margin = std::chrono::milliseconds(5);
+    base::duration exchange_margin = std::chrono::milliseconds(20);
     /// Requests for slots that are open at one lender at a time.
     std::uint32_t borrows_per_lender = 4;
     /// Time that entries may need to agree on their view of the live entries. A new owner hands
--- a/src/routing/lending.cpp
+++ b/src/routing/lending.cpp
@@ -112,7 +112,8 @@
     {
         auto const index = service.queue.at(n).request;
         auto const& request = requests[index];
-        if (request.asked)
+        bool const has_share = service.in_flight >= service.fair_slots;
+        if (request.asked || (has_share && now - request.arrived < settings.wait_before_borrowing))
         {
             continue;
         }
