--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 check: build
-	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+	scripts/run-tests $(BUILD) $(JOBS)
 
 lint: build
 	scripts/lint $(BUILD)
@@ -30,3 +30,6 @@
 # Real-process failures on loopback; SEED and DEPLOYMENT choose others than the defaults.
 prove: build
 	scripts/prove --build $(BUILD) --seed $(or $(SEED),1)
+
+bench: build
+	$(BUILD)/src/policy_bench --json $(BUILD)/policy_bench.json
