Move large bodies in turns of 128 KiB

A fast upstream and a fast caller kept the traffic thread until the sockets ran empty, which held up every other request. The test was seen to fail with turn_bytes a thousand times larger, in each direction.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+// Bytes that one answer may move before other requests get a turn. A fast upstream and a fast
+// caller would otherwise keep the traffic thread to themselves.
+constexpr std::size_t turn_bytes = 128UL * 1024;
+
 /// Returns the fields of an upstream's answer for the caller. What the entry says of the outcome
 /// is never taken from an upstream.
 http::fields for_caller(http::fields const& all)
@@ -123,7 +127,7 @@
         pump_to_caller(*request, *attempt);
         return;
     }
-    drop_answer(*attempt);
+    drop_answer(id, *attempt);
 }
 
 void relay::impl::pump_to_caller(request_state& request, attempt_state& attempt)
@@ -131,14 +135,21 @@
     // Both may end while the exchange is written to.
     auto const exchange = request.exchange;
     auto const source = attempt.attempt;
+    std::size_t moved = 0;
     while (!request.writing && !request.end_written && !exchange->ended())
     {
+        if (moved >= turn_bytes)
+        {
+            post([this, id = request.winner]() { pump(id); });
+            return;
+        }
         auto const part = source->part();
         if (part.data.empty() && !part.end)
         {
             request.writing = !exchange->flush();
             return;
         }
+        moved += part.data.size();
         attempt.part_size = part.data.size();
         request.end_written = part.end;
         request.writing = true;
@@ -160,11 +171,18 @@
     }
 }
 
-void relay::impl::drop_answer(attempt_state& attempt)
+void relay::impl::drop_answer(attempt_id id, attempt_state& attempt)
 {
     auto const source = attempt.attempt;
+    std::size_t moved = 0;
     for (auto part = source->part(); !part.data.empty(); part = source->part())
     {
+        if (moved >= turn_bytes)
+        {
+            post([this, id]() { pump(id); });
+            return;
+        }
+        moved += part.data.size();
         source->consume(part.data.size());
     }
 }
--- a/src/relay/relay_impl.hpp
+++ b/src/relay/relay_impl.hpp
@@ -111,7 +111,7 @@
     void cancel_all(request_state const& request, base::attempt_id except);
     void pump(base::attempt_id attempt);
     void pump_to_caller(request_state& request, attempt_state& attempt);
-    void drop_answer(attempt_state& attempt);
+    void drop_answer(base::attempt_id id, attempt_state& attempt);
     void release_winner(request_state& request);
     void settle(base::local_request_id request);
 
--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -1,5 +1,7 @@
 #include "relay_fixture.hpp"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fuchsiaproxy;
@@ -34,6 +36,56 @@
     return out + std::string(size, 'a') + "\r\n";
 }
 
+/// Exchange with a caller that is never slow: its whole body is here, and it takes every answer.
+class eager_exchange final : public callers::exchange
+{
+public:
+    explicit eager_exchange(std::size_t body_size) : left_(body_size)
+    {
+        head_.id = base::local_request_id(1);
+        head_.method = "POST";
+        head_.target = "/s/a";
+        head_.content_length = body_size;
+    }
+
+    callers::request_head const& head() const override
+    {
+        return head_;
+    }
+    bool ended() const override
+    {
+        return ended_;
+    }
+    callers::body_read read_body(char* to, std::size_t size) override
+    {
+        auto const n = std::min(size, left_);
+        std::fill(to, to + n, 'a');
+        left_ -= n;
+        moved += n;
+        return {n, left_ == 0 ? callers::body_state::end : callers::body_state::open};
+    }
+    void write_head(callers::answer_head const&) override {}
+    bool write_body(std::string_view data, bool end) override
+    {
+        moved += data.size();
+        ended_ = end;
+        return true;
+    }
+    bool flush() override
+    {
+        return true;
+    }
+    void answer(unsigned, http::fields const&, std::string_view) override {}
+    void abort() override {}
+
+    std::size_t moved = 0;
+
+private:
+    callers::request_head head_;
+    std::size_t left_;
+    bool ended_ = false;
+};
+
 } // namespace
 
 TEST_GROUP(relay_forwarding)
@@ -382,6 +434,40 @@
     }
 }
 
+// Guards against a large body that keeps the traffic thread from other requests. The turn is
+// 128 KiB; the last buffer of a turn, and the bodies that are kept, come on top.
+TEST(relay_bodies, large_bodies_are_moved_in_turns)
+{
+    constexpr std::size_t most = (128 + 64 + 16) * 1024;
+    for (bool const upload : {false, true})
+    {
+        data_path one;
+        auto const caller = std::make_shared<eager_exchange>(upload ? 20'000'000 : 0);
+        one.mover.request_arrived(caller);
+        one.attempt(request, one.upstream.at());
+        auto& peer = peer_with(one, one.upstream, 0, "\r\n\r\n");
+        if (!upload)
+        {
+            // Each of these writes its first 64 KiB at once, so that much of the answer has arrived
+            // before the relay gets its first turn.
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n");
+            for (int n = 0; n < 40; ++n)
+            {
+                peer.send(std::string(500'000, 'a'));
+            }
+        }
+        std::size_t largest = 0;
+        while (caller->moved < 20'000'000)
+        {
+            auto const before = caller->moved;
+            one.io.restart();
+            CHECK(one.io.run_one_for(std::chrono::seconds(20)) == 1);
+            largest = std::max(largest, caller->moved - before);
+        }
+        CHECK(largest > 0 && largest <= most);
+    }
+}
+
 // Guards against two attempts of a large body that wait for each other for ever.
 TEST(relay_bodies, a_broken_attempt_makes_room_for_the_other_one)
 {
--- a/src/upstreams/running_attempt.cpp
+++ b/src/upstreams/running_attempt.cpp
@@ -18,6 +18,9 @@
 using base::attempt_result;
 using boost::system::error_code;
 
+// Bytes of a body that may be sent before other requests get a turn on the thread.
+constexpr std::uint64_t turn_bytes = 128UL * 1024;
+
 // Text of a request's head besides target, names and values: ": " and the line end of each field,
 // and the start line, Deadline-Ms, framing and a chunk header.
 constexpr std::size_t field_overhead = 4;
@@ -189,6 +192,7 @@
 
 void running_attempt::pump_request()
 {
+    auto const turn_end = body_offset_ + turn_bytes;
     while (!finished_ && sending_)
     {
         auto const state = writer_.write_to(link_->socket());
@@ -207,6 +211,11 @@
             sending_ = false;
             return;
         }
+        if (body_offset_ >= turn_end)
+        {
+            link_->arm_write();
+            return;
+        }
         if (!put_body())
         {
             return;
