Return the Request-Id that the entry has given with the answer

A caller without an id of its own never learnt the one under which its order ran, so it could not ask for the outcome. Added fields that the caller has sent itself are skipped, so decisions may add the id to every attempt.

--- a/src/include/fuchsiaproxy/relay/relay.hpp
+++ b/src/include/fuchsiaproxy/relay/relay.hpp
@@ -54,7 +54,8 @@
     base::time_point deadline;
     bool idempotent = false;
     std::vector<unsigned> shed_statuses;
-    /// Sent besides the caller's fields, such as a `Request-Id` that the entry has given.
+    /// Sent besides the caller's fields, unless the caller has sent a field of that name. A
+    /// `Request-Id` that is added here is returned to the caller with the answer.
     http::fields added;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -44,7 +44,16 @@
     out.fields = request->head.fields;
     for (std::size_t n = 0; n < order.added.size(); ++n)
     {
-        out.fields.add(order.added[n].name, order.added[n].value);
+        auto const it = order.added[n];
+        if (request->head.fields.find(it.name))
+        {
+            continue;
+        }
+        out.fields.add(it.name, it.value);
+        if (http::same_token(it.name, "Request-Id"))
+        {
+            request->given_id = it.value;
+        }
     }
     out.deadline = order.deadline;
     out.idempotent = order.idempotent;
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -20,9 +20,13 @@
 
 /// Returns the fields of an upstream's answer for the caller. What the entry says of the outcome
 /// is never taken from an upstream.
-http::fields for_caller(http::fields const& all)
+http::fields for_caller(http::fields const& all, std::string const& given_id)
 {
     auto out = http::end_to_end(all, "Request-Outcome");
+    if (!given_id.empty() && !out.find("Request-Id"))
+    {
+        out.add("Request-Id", given_id);
+    }
     out.add("Request-Outcome", base::name_of(base::request_outcome::run));
     return out;
 }
@@ -104,8 +108,8 @@
     request.answered = true;
     request.winner = attempt;
     cancel_all(request, attempt);
-    request.exchange->write_head(
-        callers::answer_head{head.status, for_caller(head.fields), head.content_length});
+    request.exchange->write_head(callers::answer_head{
+        head.status, for_caller(head.fields, request.given_id), head.content_length});
 }
 
 void relay::impl::attempt_readable(attempt_id attempt)
--- a/src/relay/relay_fixture.hpp
+++ b/src/relay/relay_fixture.hpp
@@ -83,6 +83,7 @@
         order.deadline = timers.now() + std::chrono::seconds(2);
         order.idempotent = idempotent;
         order.shed_statuses = {503};
+        order.added = added;
         mover.start_attempt(order);
         return order.attempt;
     }
@@ -103,6 +104,8 @@
     callers::server server;
     std::uint16_t port = 0;
     std::uint64_t last_attempt = 0;
+    /// Fields that each attempt adds.
+    http::fields added;
 };
 
 inline std::string get(std::string const& target, std::string const& more = {})
--- a/src/relay/relay_impl.hpp
+++ b/src/relay/relay_impl.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -29,6 +30,8 @@
     std::shared_ptr<callers::exchange> origin;
     callers::request_head const& head;
     request_body body;
+    /// `Request-Id` that the entry has given; empty if the caller has sent one.
+    std::string given_id;
     /// Attempts that have not been reported.
     std::vector<base::attempt_id> running;
 
--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -226,6 +226,28 @@
     CHECK_FALSE(caller.has("503"));
 }
 
+// Guards against an order whose caller cannot ask for its outcome because it never learns the id,
+// and against a second id besides the caller's own.
+TEST(relay_attempts, ids_given_by_the_entry_reach_upstream_and_caller)
+{
+    path.added.add("Request-Id", "given");
+    for (bool const own : {false, true})
+    {
+        raw_peer caller(path.io, path.port);
+        caller.send(post("body", own ? "Request-Id: own\r\n" : ""));
+        CHECK(path.until([&]() { return path.events.arrived.size() == (own ? 2 : 1); }));
+        path.attempt(path.events.arrived.back().id, path.upstream.at(), false);
+        auto& peer = peer_with(path, path.upstream, 0, "body");
+        CHECK_EQUAL(!own, peer.has("Request-Id: given\r\n"));
+        CHECK_EQUAL(own, peer.has("Request-Id: own\r\n"));
+        peer.clear();
+        peer.send(answer_200("done"));
+        CHECK(path.until([&]() { return caller.has("done"); }));
+        CHECK_EQUAL(!own, caller.has("Request-Id: given\r\n"));
+        CHECK(path.until([&]() { return path.events.finished.size() == (own ? 2 : 1); }));
+    }
+}
+
 // Guards against two answers to one request, and a loser that runs on.
 TEST(relay_attempts, the_first_answer_wins_and_the_other_attempt_is_cancelled)
 {
