--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -14,11 +14,19 @@
 namespace
 {
 
+// Bytes that one answer may move before other requests get a turn. A fast upstream and a fast
+// caller would otherwise keep the traffic thread to themselves.
+constexpr std::size_t turn_bytes = 128UL * 1024;
+
 /// Returns the fields of an upstream's answer for the caller. What the entry says of the outcome
 /// is never taken from an upstream.
-http::fields for_caller(http::fields const& all)
+http::fields for_caller(http::fields const& all, std::string const& given_id)
 {
     auto out = http::end_to_end(all, "Request-Outcome");
+    if (!given_id.empty() && !out.find("Request-Id"))
+    {
+        out.add("Request-Id", given_id);
+    }
     out.add("Request-Outcome", base::name_of(base::request_outcome::run));
     return out;
 }
@@ -100,8 +108,8 @@
     request.answered = true;
     request.winner = attempt;
     cancel_all(request, attempt);
-    request.exchange->write_head(
-        callers::answer_head{head.status, for_caller(head.fields), head.content_length});
+    request.exchange->write_head(callers::answer_head{
+        head.status, for_caller(head.fields, request.given_id), head.content_length});
 }
 
 void relay::impl::attempt_readable(attempt_id attempt)
@@ -123,7 +131,7 @@
         pump_to_caller(*request, *attempt);
         return;
     }
-    drop_answer(*attempt);
+    drop_answer(id, *attempt);
 }
 
 void relay::impl::pump_to_caller(request_state& request, attempt_state& attempt)
@@ -131,14 +139,21 @@
     // Both may end while the exchange is written to.
     auto const exchange = request.exchange;
     auto const source = attempt.attempt;
+    std::size_t moved = 0;
     while (!request.writing && !request.end_written && !exchange->ended())
     {
+        if (moved >= turn_bytes)
+        {
+            post([this, id = request.winner]() { pump(id); });
+            return;
+        }
         auto const part = source->part();
         if (part.data.empty() && !part.end)
         {
             request.writing = !exchange->flush();
             return;
         }
+        moved += part.data.size();
         attempt.part_size = part.data.size();
         request.end_written = part.end;
         request.writing = true;
@@ -160,11 +175,18 @@
     }
 }
 
-void relay::impl::drop_answer(attempt_state& attempt)
+void relay::impl::drop_answer(attempt_id id, attempt_state& attempt)
 {
     auto const source = attempt.attempt;
+    std::size_t moved = 0;
     for (auto part = source->part(); !part.data.empty(); part = source->part())
     {
+        if (moved >= turn_bytes)
+        {
+            post([this, id]() { pump(id); });
+            return;
+        }
+        moved += part.data.size();
         source->consume(part.data.size());
     }
 }
--- a/src/relay/relay_impl.hpp
+++ b/src/relay/relay_impl.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -29,6 +30,8 @@
     std::shared_ptr<callers::exchange> origin;
     callers::request_head const& head;
     request_body body;
+    /// `Request-Id` that the entry has given; empty if the caller has sent one.
+    std::string given_id;
     /// Attempts that have not been reported.
     std::vector<base::attempt_id> running;
 
@@ -111,7 +114,7 @@
     void cancel_all(request_state const& request, base::attempt_id except);
     void pump(base::attempt_id attempt);
     void pump_to_caller(request_state& request, attempt_state& attempt);
-    void drop_answer(attempt_state& attempt);
+    void drop_answer(base::attempt_id id, attempt_state& attempt);
     void release_winner(request_state& request);
     void settle(base::local_request_id request);
 
