Build the policy bench as one program

Cause: two rules made a program of the same name after a merge. Change: fuchsiaproxy_package takes BENCH, which links all benches of a folder.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -21,14 +21,14 @@
   BOOST_ALLOW_DEPRECATED_HEADERS BOOST_ERROR_CODE_HEADER_ONLY BOOST_BIND_GLOBAL_PLACEHOLDERS)
 target_link_libraries(fuchsiaproxy_options INTERFACE Threads::Threads)
 
-# fuchsiaproxy_package(NAME [LIBRARIES lib...] [TEST_LIBRARIES lib...])
+# fuchsiaproxy_package(NAME [LIBRARIES lib...] [TEST_LIBRARIES lib...] [BENCH program])
 #
 # Builds fuchsiaproxy_NAME from src/NAME/*.cpp and, from src/NAME/*_test.cpp, one test program
 # NAME_test, each test group of which is registered with ctest. Each src/NAME/X_bench.cpp becomes
-# a program X_bench. TEST_LIBRARIES are linked to the test
-# program only.
+# a program X_bench; with BENCH, all of them become that one program. TEST_LIBRARIES are linked to
+# the test program only.
 function(fuchsiaproxy_package name)
-  cmake_parse_arguments(ARG "" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "" "BENCH" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
   set(tests ${sources})
   list(FILTER sources EXCLUDE REGEX "_(test|bench)\\.cpp$")
@@ -45,6 +45,11 @@
   if(tests)
     fuchsiaproxy_tests(${name}_test SOURCES ${tests} LIBRARIES fuchsiaproxy_${name} ${ARG_TEST_LIBRARIES})
   endif()
+  if(ARG_BENCH)
+    add_executable(${ARG_BENCH} ${benches})
+    target_link_libraries(${ARG_BENCH} PRIVATE fuchsiaproxy_${name})
+    return()
+  endif()
   foreach(file ${benches})
     get_filename_component(bench ${file} NAME_WE)
     add_executable(${bench} ${file})
