--- a/src/include/fuchsiaproxy/routing/settings.hpp
+++ b/src/include/fuchsiaproxy/routing/settings.hpp
@@ -61,7 +61,7 @@
     /// Time for which a lent slot may be used for new attempts.
     base::duration loan_validity = std::chrono::milliseconds(500);
     /// The same while others wait for a slot of the owner: the slot is soon granted anew, by rank.
-    base::duration contended_validity = std::chrono::milliseconds(100);
+    base::duration contended_validity = std::chrono::milliseconds(50);
     /// An unused lent slot is given back after this time.
     base::duration loan_linger = std::chrono::milliseconds(3);
     /// An entry that already uses its fair share of the slots asks for more only for requests that
@@ -79,7 +79,7 @@
     base::duration open_borrow_penalty = std::chrono::milliseconds(2);
     /// A slot is lent to another zone before it is used for the own queue only if the borrower has
     /// waited longer than the own request by this time: each exchange across zones costs slot time.
-    base::duration exchange_margin = std::chrono::milliseconds(20);
+    base::duration exchange_margin = std::chrono::milliseconds(50);
     /// Requests for slots that are open at one lender at a time.
     std::uint32_t borrows_per_lender = 4;
     /// Time that entries may need to agree on their view of the live entries. A new owner hands
--- a/src/policy_bench/policy_bench.cpp
+++ b/src/policy_bench/policy_bench.cpp
@@ -21,6 +21,7 @@
     std::uint64_t seed = 1;
     bool ablation = true;
     bool cost = true;
+    bool policies = true;
 };
 
 nlohmann::json to_json(measurement const& it)
@@ -203,6 +204,10 @@
         {
             to.ablation = false;
         }
+        else if (it == "--only-cost")
+        {
+            to.policies = false;
+        }
         else if (it == "--no-cost")
         {
             to.cost = false;
@@ -222,12 +227,17 @@
     options chosen;
     if (!parse(argc, argv, chosen))
     {
-        std::cerr << "usage: policy_bench [--json FILE] [--seed N] [--no-ablation] [--no-cost]\n";
+        std::cerr << "usage: policy_bench [--json FILE] [--seed N] [--no-ablation] [--no-cost]\n"
+                     "                    [--only-cost]\n";
         return 2;
     }
     nlohmann::json out;
     for (auto const& where : {varjuvork(), pamplemousses()})
     {
+        if (!chosen.policies)
+        {
+            break;
+        }
         out[where.name] = bench(where, chosen);
     }
     if (chosen.cost)
--- a/src/policy_bench/policy_test.cpp
+++ b/src/policy_bench/policy_test.cpp
@@ -84,9 +84,11 @@
 }
 
 // Guards against a policy that serves less weight on time than a simple one.
-TEST(policy, serves_no_less_weight_than_any_baseline)
+TEST(policy, serves_no_less_weight_than_any_baseline_at_80_95_and_120_percent)
 {
-    check_both("weight on time, none");
+    check_both("weight on time, none, 80 %");
+    check_both("weight on time, none, 95 %");
+    check_both("weight on time, none, 120 %");
 }
 
 // Guards against the same while upstreams are slow.
@@ -94,3 +96,11 @@
 {
     check_both("weight on time, two slowed");
 }
+
+TEST_GROUP(policy_at_half_load){};
+
+// Guards against a policy that costs weight although there is room for everything.
+TEST(policy_at_half_load, serves_no_less_weight_than_any_baseline)
+{
+    check_both("weight on time, none, 50 %");
+}
--- a/src/policy_bench/run.cpp
+++ b/src/policy_bench/run.cpp
@@ -73,6 +73,7 @@
     auto const& services = in.where().source.configuration.services;
     tally all;
     std::vector<std::vector<tally>> by_class;
+    by_class.reserve(services.size());
     for (auto const& it : services)
     {
         by_class.emplace_back(it.classes.size());
--- a/src/policy_bench/targets.cpp
+++ b/src/policy_bench/targets.cpp
@@ -1,7 +1,7 @@
 #include "targets.hpp"
 
 #include <algorithm>
-#include <cstdio>
+#include <cmath>
 
 namespace fuchsiaproxy::policy_bench
 {
@@ -22,7 +22,7 @@
 
 std::string percent(double load)
 {
-    return std::to_string(static_cast<int>(load * 100 + 0.5)) + " %";
+    return std::to_string(std::lround(load * 100)) + " %";
 }
 
 void add_no_loss(std::vector<row> const& rows, double load, fault what,
--- a/src/routing/lending.cpp
+++ b/src/routing/lending.cpp
@@ -112,7 +112,7 @@
     {
         auto const index = service.queue.at(n).request;
         auto const& request = requests[index];
-        bool const has_share = service.in_flight >= service.fair_slots;
+        bool const has_share = service.in_flight >= std::max(service.fair_slots, 1U);
         if (request.asked || (has_share && now - request.arrived < settings.wait_before_borrowing))
         {
             continue;
