--- a/src/policy_bench/policy_test.cpp
+++ b/src/policy_bench/policy_test.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-/// Checks the targets whose names start with `prefix`.
-void check_targets(deployment const& where, std::vector<verdict> const& verdicts,
-                   std::string const& prefix)
+/// Appends the missed targets whose names start with `prefix`.
+void collect_missed(deployment const& where, std::vector<verdict> const& verdicts,
+                    std::string const& prefix, std::string& missed)
 {
     std::size_t found = 0;
     for (auto const& it : verdicts)
@@ -20,9 +20,10 @@
         if (it.target.compare(0, prefix.size(), prefix) == 0)
         {
             ++found;
-            auto const text = where.name + ", " + it.target + ": " + std::to_string(it.value) +
-                              ", target " + std::to_string(it.bound);
-            CHECK_TEXT(it.passed(), text.c_str());
+            missed += it.passed()
+                          ? ""
+                          : where.name + ", " + it.target + ": " + std::to_string(it.value) +
+                                ", target " + std::to_string(it.bound) + "; ";
         }
     }
     CHECK(found > 0);
@@ -37,10 +38,12 @@
 
 void check_both(std::string const& prefix)
 {
+    std::string missed;
     for (auto const& where : {varjuvork(), pamplemousses()})
     {
-        check_targets(where, verdicts_of(where), prefix);
+        collect_missed(where, verdicts_of(where), prefix, missed);
     }
+    CHECK_TEXT(missed.empty(), missed.c_str());
 }
 
 } // namespace
@@ -84,9 +87,8 @@
 }
 
 // Guards against a policy that serves less weight on time than a simple one.
-TEST(policy, serves_no_less_weight_than_any_baseline_at_80_95_and_120_percent)
+TEST(policy, serves_no_less_weight_than_any_baseline_at_95_and_120_percent)
 {
-    check_both("weight on time, none, 80 %");
     check_both("weight on time, none, 95 %");
     check_both("weight on time, none, 120 %");
 }
@@ -97,10 +99,16 @@
     check_both("weight on time, two slowed");
 }
 
-TEST_GROUP(policy_at_half_load){};
+TEST_GROUP(policy_at_light_load){};
 
 // Guards against a policy that costs weight although there is room for everything.
-TEST(policy_at_half_load, serves_no_less_weight_than_any_baseline)
+TEST(policy_at_light_load, serves_no_less_weight_than_any_baseline_at_50_percent)
 {
     check_both("weight on time, none, 50 %");
 }
+
+// Guards against the same at a usual load.
+TEST(policy_at_light_load, serves_no_less_weight_than_any_baseline_at_80_percent)
+{
+    check_both("weight on time, none, 80 %");
+}
