Count deadlines from the arrival, send every attempt with its id

Cause: after a slow upload the time left was counted from the end of the upload; a retry of an order without an id of its caller went without Request-Id.

Change: the deadline is head.arrived plus the time left; the relay decides whether the caller sent an id. Idle and connect limits of upstreams are settings.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -64,8 +64,8 @@
     auto const& request_class = declared.classes[state.request_class];
     state.idempotent = request_class.idempotent;
     state.arrived = now;
-    state.deadline =
-        now + std::min(it.time_left.value_or(request_class.deadline), longest_deadline(declared));
+    state.deadline = std::min(it.deadline.value_or(now + request_class.deadline),
+                              now + longest_deadline(declared));
     state.size = it.size;
     if (state.idempotent)
     {
--- a/src/include/fuchsiaproxy/engine/engine.hpp
+++ b/src/include/fuchsiaproxy/engine/engine.hpp
@@ -50,7 +50,8 @@
     /// Path with query, starting with a slash.
     std::string_view target;
     std::optional<std::string_view> request_id;
-    std::optional<base::duration> time_left;
+    /// Given by the caller; the service's deadlines limit it.
+    std::optional<base::time_point> deadline;
     base::byte_count size;
 };
 
--- a/src/include/fuchsiaproxy/runtime/operators_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/operators_loop.hpp
@@ -28,7 +28,7 @@
 public:
     /// `to_traffic` returns false when its ring is full. `io` must outlive the loop.
     operators_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
-                   std::shared_ptr<platform::platform_counters> counters,
+                   std::shared_ptr<platform::platform_counters> const& counters,
                    std::function<bool(traffic_event)> to_traffic,
                    std::function<std::string()> metrics);
     ~operators_loop() override;
--- a/src/include/fuchsiaproxy/runtime/peer_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/peer_loop.hpp
@@ -25,7 +25,7 @@
 public:
     /// `to_traffic` returns false when its ring is full. `io` must outlive the loop.
     peer_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
-              messages::entry_info self, std::uint64_t seed,
+              messages::entry_info const& self, std::uint64_t seed,
               std::function<bool(traffic_event)> to_traffic);
 
     /// Starts to listen. Fails with `invalid_settings` if the address cannot be bound.
--- a/src/include/fuchsiaproxy/runtime/platform_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/platform_loop.hpp
@@ -26,7 +26,7 @@
 public:
     /// `to_traffic` returns false when its ring is full. `io` must outlive the loop.
     platform_loop(boost::asio::io_context& io, settings::platform_settings const& settings,
-                  std::shared_ptr<platform::platform_counters> counters,
+                  std::shared_ptr<platform::platform_counters> const& counters,
                   std::function<bool(traffic_event)> to_traffic);
 
     /// Starts to look for a configuration and for other entries. Precondition: called once, on the
--- a/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
@@ -134,8 +134,6 @@
     callers::server server_;
     traffic_outputs outputs_;
     traffic_counters counters_;
-    /// Requests that came without an id; the upstream gets the one that the entry made.
-    std::unordered_set<base::local_request_id> without_id_;
     std::unordered_set<base::instance_id> unsent_;
     std::unique_ptr<base::timer_subscription> wakeup_;
     base::time_point wakeup_at_ = base::time_point::max();
--- a/src/include/fuchsiaproxy/settings/daemon_settings.hpp
+++ b/src/include/fuchsiaproxy/settings/daemon_settings.hpp
@@ -66,6 +66,7 @@
     base::duration lost_after{};
     base::duration header_timeout{};
     base::duration idle_limit{};
+    base::duration connect_limit{};
     base::duration pooled_idle_limit{};
 };
 
--- a/src/runtime/peer_loop.cpp
+++ b/src/runtime/peer_loop.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 peer_loop::peer_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
-                     messages::entry_info self, std::uint64_t seed,
+                     messages::entry_info const& self, std::uint64_t seed,
                      std::function<bool(traffic_event)> to_traffic)
     : io_(io), settings_(peer_settings_of(settings, self, seed)), timers_(io),
       to_traffic_(std::move(to_traffic))
--- a/src/runtime/platform_loop.cpp
+++ b/src/runtime/platform_loop.cpp
@@ -32,7 +32,7 @@
 
 platform_loop::platform_loop(boost::asio::io_context& io,
                              settings::platform_settings const& settings,
-                             std::shared_ptr<platform::platform_counters> counters,
+                             std::shared_ptr<platform::platform_counters> const& counters,
                              std::function<bool(traffic_event)> to_traffic)
     : timers_(io), store_(platform::make_http_store(io, endpoint_of(settings.store),
                                                     timeouts_of(settings), counters)),
--- a/src/runtime/traffic_loop.cpp
+++ b/src/runtime/traffic_loop.cpp
@@ -44,6 +44,8 @@
     upstreams::client_settings made;
     made.max_connections = it.limits.connections_per_upstream;
     made.idle_limit = it.timing.pooled_idle_limit;
+    made.body_idle_limit = it.timing.idle_limit;
+    made.connect_limit = it.timing.connect_limit;
     return made;
 }
 
@@ -147,16 +149,13 @@
     it.service = head.service;
     it.method = head.method;
     it.target = head.target;
-    it.time_left = head.time_left;
+    it.deadline = head.time_left ? std::optional<base::time_point>(head.arrived + *head.time_left)
+                                 : std::nullopt;
     it.size = base::byte_count(head.content_length.value_or(0));
     if (head.request_id)
     {
         it.request_id = *head.request_id;
     }
-    else
-    {
-        without_id_.insert(head.id);
-    }
     engine::engine_actions out;
     engine_.on_request(it, timers_.now(), out);
     perform(out);
@@ -205,7 +204,6 @@
 
 void traffic_loop::caller_gone(base::local_request_id request)
 {
-    without_id_.erase(request);
     engine::engine_actions out;
     engine_.on_caller_gone(request, timers_.now(), out);
     perform(out);
@@ -229,8 +227,8 @@
     order.deadline = it.deadline;
     order.idempotent = it.idempotent;
     order.shed_statuses = std::move(it.shed_statuses);
-    bool const made_here = without_id_.erase(it.request) != 0;
-    if (made_here && !it.request_id.empty())
+    // The relay keeps the caller's own field if there is one.
+    if (!it.request_id.empty())
     {
         order.added.add("Request-Id", it.request_id);
     }
@@ -244,7 +242,6 @@
 
 void traffic_loop::perform_one(engine::answer_error& it)
 {
-    without_id_.erase(it.request);
     http::fields fields;
     if (!it.request_id.empty())
     {
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -106,6 +106,7 @@
     timing.lost_after = milliseconds_of(it.at("lost_after_ms"));
     timing.header_timeout = milliseconds_of(it.at("header_timeout_ms"));
     timing.idle_limit = milliseconds_of(it.at("idle_limit_ms"));
+    timing.connect_limit = milliseconds_of(it.at("connect_limit_ms"));
     timing.pooled_idle_limit = milliseconds_of(it.at("pooled_idle_limit_ms"));
     return timing;
 }
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -105,6 +105,8 @@
         "idle_limit_ms": {
           "description": "Time without progress after which a connection is closed, in milliseconds.",
           "type": "integer", "minimum": 100, "maximum": 3600000, "default": 30000},
+        "connect_limit_ms": {"description": "Limit for opening a connection to an upstream, in milliseconds.",
+                             "type": "integer", "minimum": 10, "maximum": 60000, "default": 500},
         "pooled_idle_limit_ms": {
           "description": "Time for which an unused upstream connection is kept, in milliseconds.",
           "type": "integer", "minimum": 10, "maximum": 3600000, "default": 10000}
