Install the libraries, programs and pages as a CMake package

Cause: there was no way to install the project or to use its libraries from another one. Change: cmake/install.cmake installs the libraries, public headers, fuchsiad, fuchsiactl, docs, examples and the systemd unit, and exports fuchsiaproxy::<package>. The stand-ins stay out, because they serve tests only. `make check` runs scripts/check-install, which installs with DESTDIR and PREFIX, counts the headers, and builds and runs tests/consumer against the result.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # Entry points for people and CI. The build itself is described in CMakeLists.txt.
 BUILD ?= build
 JOBS ?= 8
+PREFIX ?= /usr/local
+DESTDIR ?=
 
-.PHONY: all build check lint format demo prove bench
+.PHONY: all build check install lint format demo prove bench
 
 all: build
 
@@ -15,6 +17,10 @@
 
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+	scripts/check-install $(BUILD)
+
+install: build
+	DESTDIR=$(DESTDIR) cmake --install $(BUILD) --prefix $(PREFIX)
 
 lint: build
 	scripts/lint $(BUILD)
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -19,16 +19,18 @@
 target_compile_definitions(fuchsiaproxy_options INTERFACE
   FUCHSIAPROXY_VERSION="${PROJECT_VERSION}"
   BOOST_ALLOW_DEPRECATED_HEADERS BOOST_ERROR_CODE_HEADER_ONLY BOOST_BIND_GLOBAL_PLACEHOLDERS)
+target_compile_features(fuchsiaproxy_options INTERFACE cxx_std_17)
 target_link_libraries(fuchsiaproxy_options INTERFACE Threads::Threads)
+set_target_properties(fuchsiaproxy_options PROPERTIES EXPORT_NAME options)
 
-# fuchsiaproxy_package(NAME [LIBRARIES lib...] [TEST_LIBRARIES lib...])
+# fuchsiaproxy_package(NAME [NOT_INSTALLED] [LIBRARIES lib...] [TEST_LIBRARIES lib...])
 #
 # Builds fuchsiaproxy_NAME from src/NAME/*.cpp and, from src/NAME/*_test.cpp, one test program
 # NAME_test, each test group of which is registered with ctest. Each src/NAME/X_bench.cpp becomes
 # a program X_bench. TEST_LIBRARIES are linked to the test
-# program only.
+# program only. The library is installed as fuchsiaproxy::NAME unless it is NOT_INSTALLED.
 function(fuchsiaproxy_package name)
-  cmake_parse_arguments(ARG "" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "NOT_INSTALLED" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
   set(tests ${sources})
   list(FILTER sources EXCLUDE REGEX "_(test|bench)\\.cpp$")
@@ -42,6 +44,10 @@
     target_link_libraries(fuchsiaproxy_${name} INTERFACE fuchsiaproxy_options ${ARG_LIBRARIES})
   endif()
   add_library(fuchsiaproxy::${name} ALIAS fuchsiaproxy_${name})
+  set_target_properties(fuchsiaproxy_${name} PROPERTIES EXPORT_NAME ${name})
+  if(NOT ARG_NOT_INSTALLED)
+    set_property(GLOBAL APPEND PROPERTY FUCHSIAPROXY_INSTALLED_LIBRARIES fuchsiaproxy_${name})
+  endif()
   if(tests)
     fuchsiaproxy_tests(${name}_test SOURCES ${tests} LIBRARIES fuchsiaproxy_${name} ${ARG_TEST_LIBRARIES})
   endif()
