--- a/src/settings/load_test.cpp
+++ b/src/settings/load_test.cpp
@@ -1,6 +1,8 @@
 #include "fuchsiaproxy/settings/load.hpp"
 
 #include <chrono>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -88,3 +90,12 @@
     LONGS_EQUAL(2, loaded.value().listen.callers.port);
     LONGS_EQUAL(5, loaded.value().seed);
 }
+
+// Guards against settings that the reference page lacks, or describes as they were before a change.
+// `fuchsiad --settings-reference > docs/settings.md` renews the page.
+TEST(settings_load, the_reference_page_is_the_one_in_docs)
+{
+    std::ifstream in(FUCHSIAPROXY_SOURCE_DIR "/docs/settings.md");
+    std::string const page{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    STRCMP_EQUAL(settings::reference_page().c_str(), page.c_str());
+}
