--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
 	scripts/check-install $(BUILD)
+	scripts/check-metrics
 
 install: build
 	DESTDIR=$(DESTDIR) cmake --install $(BUILD) --prefix $(PREFIX)
