--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # Entry points for people and CI. The build itself is described in CMakeLists.txt.
 BUILD ?= build
 JOBS ?= 8
+PREFIX ?= /usr/local
+DESTDIR ?=
 
-.PHONY: all build check lint format demo prove bench
+.PHONY: all build check install pages lint format demo prove bench
 
 all: build
 
@@ -14,8 +16,13 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 check: build
+	scripts/check-install $(BUILD)
+	scripts/check-metrics
 	scripts/run-tests $(BUILD) $(JOBS)
 
+install: build
+	DESTDIR=$(DESTDIR) cmake --install $(BUILD) --prefix $(PREFIX)
+
 lint: build
 	scripts/lint $(BUILD)
 
@@ -33,3 +40,7 @@
 
 bench: build
 	$(BUILD)/src/policy_bench --json $(BUILD)/policy_bench.json
+
+# The commands of docs/operators.md, run against a deployment on loopback.
+pages: build
+	scripts/check-pages --build $(BUILD)
