Add the capacity bench; build policy_bench once

Cause: the growth of the cost of control with size was not measured. Since the merge of the policy bench, a clean checkout did not configure, because the rule for *_bench.cpp and src/CMakeLists.txt both declared the target policy_bench. Packages can be declared with NO_BENCHES. Not proved: the view section crashes after its byte tables; that is open.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 8
 
-.PHONY: all build check lint format demo prove bench
+.PHONY: all build check lint format demo prove bench capacity
 
 all: build
 
@@ -33,3 +33,8 @@
 
 bench: build
 	$(BUILD)/src/policy_bench --json $(BUILD)/policy_bench.json
+
+# Growth of the cost of control with size; docs/CAPACITY.md is worked out from it.
+capacity: $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS) --target capacity_bench
+	$(BUILD)/src/capacity_bench --json $(BUILD)/capacity_bench.json
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -25,10 +25,10 @@
 #
 # Builds fuchsiaproxy_NAME from src/NAME/*.cpp and, from src/NAME/*_test.cpp, one test program
 # NAME_test, each test group of which is registered with ctest. Each src/NAME/X_bench.cpp becomes
-# a program X_bench. TEST_LIBRARIES are linked to the test
+# a program X_bench, unless NO_BENCHES is given. TEST_LIBRARIES are linked to the test
 # program only.
 function(fuchsiaproxy_package name)
-  cmake_parse_arguments(ARG "" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "NO_BENCHES" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
   set(tests ${sources})
   list(FILTER sources EXCLUDE REGEX "_(test|bench)\\.cpp$")
@@ -45,6 +45,9 @@
   if(tests)
     fuchsiaproxy_tests(${name}_test SOURCES ${tests} LIBRARIES fuchsiaproxy_${name} ${ARG_TEST_LIBRARIES})
   endif()
+  if(ARG_NO_BENCHES)
+    set(benches "")
+  endif()
   foreach(file ${benches})
     get_filename_component(bench ${file} NAME_WE)
     add_executable(${bench} ${file})
--- /dev/null
+++ b/src/capacity_bench/measure.hpp
@@ -0,0 +1,37 @@
+#ifndef FUCHSIAPROXY_CAPACITY_BENCH_MEASURE_HPP
+#define FUCHSIAPROXY_CAPACITY_BENCH_MEASURE_HPP
+
+#include <cstddef>
+
+namespace fuchsiaproxy::capacity_bench
+{
+
+/// Returns the processor time of the calling thread in nanoseconds. Thread safe.
+double processor_ns();
+
+/// Returns the bytes that the program holds on the heap, with the allocator's rounding. Not thread
+/// safe: the bench has one thread.
+std::size_t live_bytes();
+
+/// Keeps the compiler from removing a computation of `value`.
+template <class T>
+void keep(T const& value)
+{
+    asm volatile("" : : "g"(&value) : "memory");
+}
+
+/// Returns the processor time of one call of `call(n)` in nanoseconds, over `count` calls.
+template <class Call>
+double ns_per_call(std::size_t count, Call&& call)
+{
+    double const start = processor_ns();
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        call(n);
+    }
+    return (processor_ns() - start) / static_cast<double>(count);
+}
+
+} // namespace fuchsiaproxy::capacity_bench
+
+#endif
