--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PREFIX ?= /usr/local
 DESTDIR ?=
 
-.PHONY: all build check install pages lint format demo prove bench
+.PHONY: all build check install pages lint format demo prove bench capacity
 
 all: build
 
@@ -44,3 +44,8 @@
 # The commands of docs/operators.md, run against a deployment on loopback.
 pages: build
 	scripts/check-pages --build $(BUILD)
+
+# Growth of the cost of control with size; docs/CAPACITY.md is worked out from it.
+capacity: $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS) --target capacity_bench
+	$(BUILD)/src/capacity_bench --json $(BUILD)/capacity_bench.json
