Count moves by their places; let the failure runs check a capped shift

Change: fuchsiaproxy_moves_total by from and to; the scenario capped_shift reads the moves of its own shift; a stand-in that does not start is an error.

Conclusion: the counter is also what operators need to watch a shift.

--- a/scripts/loopback/deployment.py
+++ b/scripts/loopback/deployment.py
@@ -31,7 +31,12 @@
         log = open(os.path.join(self.folder, name + ".log"), "w", encoding="utf-8")
         child = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
         self.children[name] = child
-        return child.stdout.readline() if wait_for_line else ""
+        if not wait_for_line:
+            return ""
+        line = child.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{name} did not start, see {log.name}")
+        return line
 
     def signal(self, name, number):
         self.children[name].send_signal(number)
@@ -211,13 +216,18 @@
             time.sleep(0.02)
         return False
 
-    def post_change(self, entry, base_version, command, place):
+    def organisation(self):
+        return self.read("members.json")["members"][0]["id"]
+
+    def post_drain(self, entry, base_version, command, place):
         """Drains a place by the operators' API; returns status and text."""
+        drain = {"id": "drain-" + place, "organisation": self.organisation(), "place": place}
+        return self.post_changes(entry, base_version, command, [{"put": {"drain": drain}}])
+
+    def post_changes(self, entry, base_version, command, changes):
+        """Makes changes by the operators' API; returns status and text."""
         operator, key = OPERATOR[self.name]
-        organisation = self.read("members.json")["members"][0]["id"]
-        body = {"command": command, "base_version": base_version,
-                "changes": [{"put": {"drain": {"id": "drain-" + place, "organisation": organisation,
-                                               "place": place}}}]}
+        body = {"command": command, "base_version": base_version, "changes": changes}
         request = urllib.request.Request(f"http://{entry['operators']}/v1/changes",
                                          data=json.dumps(body).encode(), method="POST")
         token = base64.b64encode(f"{operator}:{key}".encode()).decode()
@@ -228,6 +238,19 @@
         except urllib.error.HTTPError as failed:
             return failed.code, failed.read().decode()
 
+    def metric(self, name):
+        """Returns the sum of a metric, with its labels, over the entries that answer."""
+        total = 0.0
+        for it in self.entries.values():
+            try:
+                text = http("GET", f"http://{it['operators']}/metrics")
+            except (urllib.error.URLError, ConnectionError, TimeoutError):
+                continue
+            for line in text.splitlines():
+                if line.startswith(name + " "):
+                    total += float(line.split()[-1])
+        return total
+
     def control_until_done(self, *arguments):
         """Runs fuchsiactl until it succeeds; silent connections may fail the first call."""
         for _ in range(5):
--- a/scripts/loopback/scenarios.py
+++ b/scripts/loopback/scenarios.py
@@ -11,6 +11,8 @@
 # The promise is 3 s; reading the counters takes two round trips on loopback.
 LEAVING_LIMIT_S = 3.0
 CONFIGURATION_LIMIT_S = 4.0
+# Far below the traffic of a zone, so that the cap binds.
+CAP_PER_SECOND = 20
 
 
 class Tally:
@@ -180,7 +182,7 @@
         results = []
 
         def change(entry, percent):
-            results.append(deployment.post_change(entry, before, f"race-{number}-{percent}", place))
+            results.append(deployment.post_drain(entry, before, f"race-{number}-{percent}", place))
 
         threads = [threading.Thread(target=change, args=(entry, percent))
                    for percent, entry in enumerate(rng.sample(entries, 3))]
@@ -233,7 +235,53 @@
         deployment.wait_for_version(before + 2, [], CONFIGURATION_LIMIT_S)
 
 
+def capped_shift(deployment, tally, rng):
+    """Shifts half of the traffic of a place under a cap far below it, and freezes an entry meanwhile."""
+    service = ordered_service(deployment)
+    places = [it for it in deployment.places if it["service"] == service]
+    source, target = places[0], places[-1]
+    organisation = deployment.organisation()
+    split = {zone["id"]: 0 for zone in deployment.zones}
+    split[source["zone"]] = CAP_PER_SECOND
+    cap = {"id": "prove-cap", "organisation": organisation, "from": {"place": source["id"]},
+           "to": {"place": target["id"]}, "unit": "requests_per_second", "limit": CAP_PER_SECOND,
+           "split": split}
+    shift = {"id": "prove-shift", "organisation": organisation, "service": service,
+             "from": source["id"], "to": target["id"], "percent": 50}
+    first = next(iter(deployment.entries.values()))
+    before = max(deployment.versions().values())
+    status, text = deployment.post_changes(first, before, "prove-capped-shift",
+                                           [{"put": {"cap": cap}}, {"put": {"shift": shift}}])
+    if status != 200:
+        raise RuntimeError(text)
+    deployment.wait_for_version(before + 1, [], CONFIGURATION_LIMIT_S)
+    load = Load(deployment, "shift", 14, 60, rng.randrange(1 << 30))
+    counter = f'fuchsiaproxy_moves_total{{from="{source["id"]}",to="{target["id"]}"}}'
+    begin, moved = time.monotonic(), deployment.metric(counter)
+    for step in range(4):
+        time.sleep(3)
+        if step == 1:
+            frozen = rng.choice([name for name, it in deployment.entries.items()
+                                 if it["zone"] == source["zone"]])
+            deployment.processes.signal(frozen, signal.SIGSTOP)
+            time.sleep(2)
+            deployment.processes.signal(frozen, signal.SIGCONT)
+            time.sleep(1.5)
+        now, total = time.monotonic(), deployment.metric(counter)
+        # Counters are up to one second old, so a window may show one more second of moves.
+        allowed = CAP_PER_SECOND * (now - begin + 2)
+        tally.add("a shift never exceeds its cap", 1, 1 if step == 1 else 0,
+                  0 if total - moved <= allowed else 1,
+                  f"{total - moved:.0f} moves in {now - begin:.1f} s under {CAP_PER_SECOND}/s")
+        begin, moved = now, total
+    count_requests(deployment, tally, load.finish(), 1)
+    remove = [{"remove": {"shift": "prove-shift"}}, {"remove": {"cap": "prove-cap"}}]
+    deployment.post_changes(first, before + 1, "prove-capped-shift-end", remove)
+    deployment.wait_for_version(before + 2, [], CONFIGURATION_LIMIT_S)
+
+
 SCENARIOS = [configuration_changes, racing_operators, silent_store_connections, leaving_upstream,
+             capped_shift,
              kill_and_restart, freeze, store_down, planned_stops]
 
 
--- a/src/engine/share_keeper.cpp
+++ b/src/engine/share_keeper.cpp
@@ -144,7 +144,12 @@
 bool share_keeper::try_move(base::place_id const& from, base::place_id const& to,
                             base::byte_count size, base::time_point now)
 {
-    return caps_.try_charge(from, to, size, now) == nullptr;
+    if (caps_.try_charge(from, to, size, now) != nullptr)
+    {
+        return false;
+    }
+    ++moves_[{from, to}];
+    return true;
 }
 
 void share_keeper::apply(limits::share_actions const& actions, base::time_point now,
--- a/src/include/fuchsiaproxy/engine/share_keeper.hpp
+++ b/src/include/fuchsiaproxy/engine/share_keeper.hpp
@@ -1,7 +1,10 @@
 #ifndef FUCHSIAPROXY_ENGINE_SHARE_KEEPER_HPP
 #define FUCHSIAPROXY_ENGINE_SHARE_KEEPER_HPP
 
+#include <cstdint>
+#include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "fuchsiaproxy/base/ids.hpp"
@@ -58,6 +61,15 @@
         return holder_.held(cap);
     }
 
+    /// Moves that were admitted, by the places from and to which they went.
+    using move_counts = std::map<std::pair<base::place_id, base::place_id>, std::uint64_t>;
+
+    /// Returns the moves admitted so far.
+    move_counts const& moves() const
+    {
+        return moves_;
+    }
+
     /// Returns the counts of the reservations that this entry made as a hub.
     limits::share_ledger_counters const& counters() const
     {
@@ -82,6 +94,7 @@
     limits::cap_set caps_;
     limits::share_holder holder_;
     limits::share_ledger ledger_;
+    move_counts moves_;
     base::instance_id hub_;
     base::time_point next_demand_;
     base::time_point load_again_at_;
--- a/src/runtime/metrics_export.cpp
+++ b/src/runtime/metrics_export.cpp
@@ -92,6 +92,16 @@
     }
 }
 
+void export_moves(engine::share_keeper const& it, telemetry::metrics& to)
+{
+    for (auto const& row : it.moves())
+    {
+        to.set_counter("fuchsiaproxy_moves_total", "Requests sent to a place that is not their home.",
+                       {{"from", row.first.first.value()}, {"to", row.first.second.value()}},
+                       static_cast<double>(row.second));
+    }
+}
+
 } // namespace
 
 void export_engine(engine::engine& it, base::time_point now, telemetry::metrics& to)
@@ -99,6 +109,7 @@
     export_claims(it.claims().counters(), to);
     export_dispatcher(it.dispatcher().counters(), to);
     export_levels(it.levels(), to);
+    export_moves(it.shares(), to);
     auto const& self = it.fleet().self();
     to.gauge("fuchsiaproxy_configuration_version", "Version of the configuration in force.")
         .Set(static_cast<double>(self.version.value()));
