Check the links of the pages and the tests that they name

Cause: README.md links to pages that do not exist, and nothing noticed. Change: scripts/check-docs, a step of `make check`, checks each relative link of the *.md files, and that the tests named in the tables of docs/failures.md are entries of ctest or scenarios. Seen to fail first: with a trial docs/failures.md that names `limits_test.sharez` and the scenario `freezer`, it reported both and accepted the three names that exist.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
 	scripts/check-install $(BUILD)
 	scripts/check-metrics
+	scripts/check-docs $(BUILD)
 
 install: build
 	DESTDIR=$(DESTDIR) cmake --install $(BUILD) --prefix $(PREFIX)
