--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 check: build
 	scripts/check-install $(BUILD)
 	scripts/check-metrics
+	scripts/check-docs $(BUILD)
 	scripts/run-tests $(BUILD) $(JOBS)
 
 install: build
--- a/src/runtime/metrics_export.cpp
+++ b/src/runtime/metrics_export.cpp
@@ -96,7 +96,8 @@
 {
     for (auto const& row : it.moves())
     {
-        to.set_counter("fuchsiaproxy_moves_total", "Requests sent to a place that is not their home.",
+        to.set_counter("fuchsiaproxy_moves_total",
+                       "Requests sent to a place that is not their home.",
                        {{"from", row.first.first.value()}, {"to", row.first.second.value()}},
                        static_cast<double>(row.second));
     }
