Let wait go on while the asked entry has no configuration

Cause: fuchsiactl wait right after bootstrap ended at once with exit code 5, because the entry cannot check a key before it knows a configuration.

Ruled out: a check against the store; wait asks what is in force at the entries.

Change: not_ready counts as behind until the time-out.

Conclusion: bootstrap and wait can follow each other.

--- a/src/operators/console.cpp
+++ b/src/operators/console.cpp
@@ -233,8 +233,15 @@
         std::string behind;
         while (true)
         {
-            BOOST_OUTCOME_TRY(answer, api_.get("/v1/entries"));
-            behind = entries_behind(answer.value("entries", json::array()), it.version);
+            auto const answer = api_.get("/v1/entries");
+            // An entry without a configuration cannot check the key yet; it is behind as well.
+            if (!answer && answer.error().kind != error_kind::not_ready)
+            {
+                return answer.error();
+            }
+            behind =
+                answer ? entries_behind(answer.value().value("entries", json::array()), it.version)
+                       : " the asked entry, which has no configuration yet";
             if (behind.empty())
             {
                 print(json{{"version", it.version.value()}, {"in_force", true}},
--- a/src/operators/console_test.cpp
+++ b/src/operators/console_test.cpp
@@ -216,6 +216,14 @@
     expect(0, "wait 1", "version 1 is in force");
 }
 
+// Guards against `wait` that gives up at once after a bootstrap, before the asked entry has adopted
+// it.
+TEST(console, wait_goes_on_while_the_entry_has_no_configuration)
+{
+    expect(5, "wait 1 timeout 1", "the asked entry, which has no configuration yet");
+    CHECK_EQUAL(5, pauses);
+}
+
 // Guards against a burn report without the missing entries, or one that is not a single file.
 TEST(console, the_burn_report_has_three_forms)
 {
