--- a/src/capacity_bench/fleet_section.cpp
+++ b/src/capacity_bench/fleet_section.cpp
@@ -126,20 +126,10 @@
 
 } // namespace
 
-void measure_fleet(std::size_t max_entries, report& out)
+void measure_start(std::size_t max_entries, report& out)
 {
     scenario start("start of the whole fleet");
-    scenario steady("steady state");
-    scenario generations("steady state with ticket generations");
-    scenario replaced("8 s with one replacement");
-    scenario version("4 s with one new version of 1,000 B");
-    scenario zone_lost("8 s after the loss of a zone");
-    table member_calls{
-        "us per call, member", {"entries", "tick", "heartbeat", "pull", "digest"}, {}};
-    table hub_calls = member_calls;
-    hub_calls.name = "us per call, hub";
     table starts{"start of the whole fleet, end", {"entries", "seconds", "complete"}, {}};
-    table ones{"start of one entry", {"entries", "seconds", "in B", "out B"}, {}};
     std::string const document(document_bytes, 'x');
     for (auto const n : fleet_sizes(std::min(max_entries, max_cold_entries)))
     {
@@ -150,6 +140,21 @@
     }
     start.add_to(out);
     out.add(std::move(starts));
+}
+
+void measure_fleet(std::size_t max_entries, report& out)
+{
+    scenario steady("steady state");
+    scenario generations("steady state with ticket generations");
+    scenario replaced("8 s with one replacement");
+    scenario version("4 s with one new version of 1,000 B");
+    scenario zone_lost("8 s after the loss of a zone");
+    table member_calls{
+        "us per call, member", {"entries", "tick", "heartbeat", "pull", "digest"}, {}};
+    table hub_calls = member_calls;
+    hub_calls.name = "us per call, hub";
+    table ones{"start of one entry", {"entries", "seconds", "in B", "out B"}, {}};
+    std::string const document(document_bytes, 'x');
     for (auto const n : fleet_sizes(max_entries))
     {
         std::fprintf(stderr, "fleet of %zu entries\n", n);
--- a/src/capacity_bench/main.cpp
+++ b/src/capacity_bench/main.cpp
@@ -16,7 +16,7 @@
     add("json", "also write the tables to this file", cxxopts::value<std::string>());
     add("max-entries", "largest simulated fleet",
         cxxopts::value<std::size_t>()->default_value("1800"));
-    add("section", "view, fleet, configuration, claims, shares or all",
+    add("section", "view, start, fleet, configuration, claims, shares or all",
         cxxopts::value<std::string>()->default_value("all"));
     add("help", "print this text");
     try
@@ -47,6 +47,10 @@
         {
             measure_shares(out);
         }
+        if (wanted("start"))
+        {
+            measure_start(max_entries, out);
+        }
         if (wanted("fleet"))
         {
             measure_fleet(max_entries, out);
--- a/src/capacity_bench/sections.hpp
+++ b/src/capacity_bench/sections.hpp
@@ -12,6 +12,9 @@
 /// fleet up to `max_entries`.
 void measure_view(std::size_t max_entries, report& out);
 
+/// Traffic of each role while a fleet in which nobody knows anybody starts. Limited to 300 entries.
+void measure_start(std::size_t max_entries, report& out);
+
 /// Messages, bytes and processor time of each role in a simulated fleet of up to `max_entries`.
 void measure_fleet(std::size_t max_entries, report& out);
 
