Retry a shed request at another upstream, with a filled budget

Cause: a retry whose other upstreams had no free slot at this entry fell back at once to the upstream that had just shed it, although a slot of another upstream could be borrowed.

The retry bucket starts with its burst; the hedge bucket starts empty as before. Other causes of retries are unchanged.

Seen to fail with one-line changes: - without "now < request.avoid_until" in choose(): CHECK(setup_.attempts[0].upstream != setup_.attempts[1].upstream) failed - with "retries(retry_share, burst, 0)": expected <2> but was <1> attempts

Runs: routing_test 14 tests, engine_test 10 tests, no failure.

--- a/src/engine/engine_test.cpp
+++ b/src/engine/engine_test.cpp
@@ -338,3 +338,13 @@
     LONGS_EQUAL(2, counts.at(0).total);
     LONGS_EQUAL(1, counts.at(0).on_time);
 }
+
+// Guards against an order that is lost although its first upstream certainly did not run it.
+TEST(engine, an_order_that_was_shed_is_tried_at_another_upstream)
+{
+    setup_.send("a1", "POST", setup_.ticket("a1") + ".n1");
+    setup_.finish("a1", setup_.attempts[0].attempt, base::attempt_result::shed, 503);
+    setup_.run_for(200ms);
+    LONGS_EQUAL(2, setup_.attempts.size());
+    CHECK(setup_.attempts[0].upstream != setup_.attempts[1].upstream);
+}
--- a/src/routing/attempt_budget.hpp
+++ b/src/routing/attempt_budget.hpp
@@ -10,7 +10,11 @@
 class attempt_budget
 {
 public:
-    attempt_budget(double share, double burst) : share_(share), burst_(burst) {}
+    /// Starts with `tokens` attempts; at most `burst` are saved up.
+    attempt_budget(double share, double burst, double tokens = 0)
+        : share_(share), burst_(burst), tokens_(tokens)
+    {
+    }
 
     void earn() noexcept
     {
@@ -35,7 +39,7 @@
 private:
     double share_;
     double burst_;
-    double tokens_ = 0;
+    double tokens_;
 };
 
 } // namespace fuchsiaproxy::routing
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -245,6 +245,8 @@
     {
         ++counts.retries;
         row.avoid = attempt.upstream;
+        // A loan of another upstream can arrive in this time.
+        row.avoid_until = outcome == attempt_result::shed ? now + settings.borrow_patience : now;
         put_in_queue(request, now);
         return;
     }
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -210,7 +210,7 @@
         auto const found = cheapest(service, request, avoid, now);
         if (!found)
         {
-            if (strict || avoid == no_index)
+            if (strict || avoid == no_index || now < request.avoid_until)
             {
                 return std::nullopt;
             }
--- a/src/routing/tables.hpp
+++ b/src/routing/tables.hpp
@@ -117,8 +117,8 @@
 {
     service_row(base::service_id name, std::size_t queue_capacity, double retry_share,
                 double hedge_share, double burst)
-        : id(std::move(name)), queue(queue_capacity), retries(retry_share, burst),
-          hedges(hedge_share, burst)
+        : id(std::move(name)), queue(queue_capacity), retries(retry_share, burst, burst),
+          hedges(hedge_share, burst, 0)
     {
     }
 
@@ -140,6 +140,7 @@
     /// Attempts that are due for a hedge and wait for a slot.
     std::vector<std::uint64_t> waiting_hedges;
     bool recheck_armed = false;
+    /// Starts filled: an entry that has just started or has little traffic must be able to retry.
     attempt_budget retries;
     attempt_budget hedges;
     std::uint32_t in_flight = 0;
@@ -182,6 +183,8 @@
     base::time_point target_until;
     /// Upstream of the previous attempt, which a further attempt avoids.
     std::uint32_t avoid = no_index;
+    /// Until then the request waits for a slot of another upstream than `avoid`.
+    base::time_point avoid_until;
     std::uint32_t attempts_made = 0;
     std::array<std::uint32_t, 2> running{no_index, no_index};
     std::uint64_t serial = 0;
