Hand over the slots of an upstream between live owners by message

Cause: each change of owner kept the upstream's slots idle for view_lag + loan validity + largest deadline, also when the previous owner is alive and can say what is in use.

Both carry the number of the takeover beyond the fields asked for, because a late answer to an earlier takeover would otherwise free slots that are in use. Only the last owner answers. Without an answer the full wait applies as before. The engine shows its own drain to the dispatcher after view_lag, so that the slots are in use until the new owners ask.

Not in this change: the shorter wait after a loss, the owner that stops on its own after 2.5 s of silence, and an unasked handed_over. A frozen owner that resumes is as unsafe as before. A take_over of an entry that is not in the receiver's view yet is ignored and repeated, so a start waits for the view of the previous owner.

dispatcher_test: settle() clears the actions of the set-up, which now contain take_over; the checks are unchanged.

--- a/src/engine/engine_fleet.cpp
+++ b/src/engine/engine_fleet.cpp
@@ -73,7 +73,9 @@
             using type = std::decay_t<decltype(body)>;
             if constexpr (std::is_same_v<type, messages::borrow> ||
                           std::is_same_v<type, messages::lend> ||
-                          std::is_same_v<type, messages::give_back>)
+                          std::is_same_v<type, messages::give_back> ||
+                          std::is_same_v<type, messages::take_over> ||
+                          std::is_same_v<type, messages::handed_over>)
             {
                 routing::dispatch_actions actions;
                 dispatcher_.on_message(it.from, body, now, actions);
@@ -309,6 +311,17 @@
     auto const witness = witness_.value_or(requests::entry_incarnation{});
     fleet_.set_self(draining_, witness.instance, witness.number, claims_.generation(now),
                     dispatcher_.load_permille());
+    if (draining_ && !drain_shown_at_)
+    {
+        // The new owners ask for the slots once they see the drain. Until then this entry hands
+        // them out, or they would stand idle.
+        drain_shown_at_ = now + settings_.routing.view_lag;
+    }
+    if (drain_shown_at_ && now >= *drain_shown_at_)
+    {
+        drain_shown_at_ = base::time_point::max();
+        view_changed(now);
+    }
     fleet::fleet_actions fleet_actions;
     fleet_.tick(now, fleet_actions);
     apply(fleet_actions, now, out);
--- a/src/include/fuchsiaproxy/engine/engine.hpp
+++ b/src/include/fuchsiaproxy/engine/engine.hpp
@@ -252,6 +252,8 @@
     std::optional<requests::entry_incarnation> witness_;
     base::time_point next_counts_;
     bool draining_ = false;
+    /// When the dispatcher is told that this entry drains; the largest time when it was told.
+    std::optional<base::time_point> drain_shown_at_;
 };
 
 } // namespace fuchsiaproxy::engine
--- a/src/include/fuchsiaproxy/messages/messages.hpp
+++ b/src/include/fuchsiaproxy/messages/messages.hpp
@@ -204,9 +204,27 @@
     std::vector<class_counts> counts;
 };
 
+/// The new owner of an upstream asks the previous one to stop handing out its slots. `number` is
+/// the same in each repetition and differs between takeovers.
+struct take_over
+{
+    std::uint64_t number = 0;
+    base::upstream_id upstream;
+};
+
+/// Answer to `take_over`, sent again when `in_use` falls: the sender hands out no slots any more.
+struct handed_over
+{
+    std::uint64_t number = 0;
+    base::upstream_id upstream;
+    /// Slots that may still be in use, all of them free after `lapses_in`.
+    std::uint32_t in_use = 0;
+    base::duration lapses_in{};
+};
+
 using message = std::variant<heartbeat, pull, digest, config_push, config_fetch, claim, grant, deny,
                              done, resolve, resolution, borrow, lend, give_back, share_request,
-                             share_grant, share_return, leaving, counters>;
+                             share_grant, share_return, leaving, counters, take_over, handed_over>;
 
 /// A message with its sender. `sequence` grows by one with each message of an incarnation.
 struct envelope
--- a/src/include/fuchsiaproxy/routing/dispatcher.hpp
+++ b/src/include/fuchsiaproxy/routing/dispatcher.hpp
@@ -173,6 +173,12 @@
     void on_message(base::instance_id const& from, messages::give_back const& message,
                     base::time_point now, dispatch_actions& actions);
 
+    /// Handover of slots between owners. Messages of entries that are not in the view are ignored.
+    void on_message(base::instance_id const& from, messages::take_over const& message,
+                    base::time_point now, dispatch_actions& actions);
+    void on_message(base::instance_id const& from, messages::handed_over const& message,
+                    base::time_point now, dispatch_actions& actions);
+
     /// Does what is due: expiry, hedges, probes, the end of loans.
     void tick(base::time_point now, dispatch_actions& actions);
 
--- a/src/peers/message_fields.hpp
+++ b/src/peers/message_fields.hpp
@@ -293,6 +293,34 @@
     }
 };
 
+template <>
+struct fields_of<messages::take_over>
+{
+    static constexpr char const* name = "take_over";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("number", it.number);
+        visit("upstream", it.upstream);
+    }
+};
+
+template <>
+struct fields_of<messages::handed_over>
+{
+    static constexpr char const* name = "handed_over";
+
+    template <class Visitor, class T>
+    static void describe(Visitor& visit, T& it)
+    {
+        visit("number", it.number);
+        visit("upstream", it.upstream);
+        visit("in_use", it.in_use);
+        visit("lapses_in", it.lapses_in);
+    }
+};
+
 } // namespace fuchsiaproxy::peers
 
 #endif
--- a/src/peers/message_samples.hpp
+++ b/src/peers/message_samples.hpp
@@ -46,7 +46,9 @@
         share_grant{cap, base::incarnation(12), 80, 17},
         share_return{cap, 40, 18},
         leaving{upstream},
-        counters{base::instance_id("e3"), base::incarnation(8), {counts, counts}}};
+        counters{base::instance_id("e3"), base::incarnation(8), {counts, counts}},
+        take_over{21, upstream},
+        handed_over{21, upstream, 3, std::chrono::milliseconds(900)}};
     std::vector<envelope> out;
     for (auto const& it : bodies)
     {
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -212,6 +212,7 @@
     if (loan == no_index)
     {
         ledger.release(upstream);
+        tell_heir(upstream, now, actions);
     }
     else
     {
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -56,8 +56,13 @@
     case timer_kind::takeover_end:
         if (owned(upstreams[it.index]) && upstreams[it.index].takeover == it.stamp)
         {
-            upstreams[it.index].settled = true;
-            after_slot_change(upstreams[it.index].service, now, actions);
+            end_takeover(it.index, now, actions);
+        }
+        break;
+    case timer_kind::takeover_ask:
+        if (owned(upstreams[it.index]) && upstreams[it.index].takeover == it.stamp)
+        {
+            ask_previous(it.index, now, actions);
         }
         break;
     }
@@ -147,6 +152,26 @@
     }
 }
 
+void dispatcher::on_message(base::instance_id const& from, messages::take_over const& message,
+                            base::time_point now, dispatch_actions& actions)
+{
+    auto const entry = state_->entry_index(from);
+    if (entry != no_index)
+    {
+        state_->on_take_over(entry, message, now, actions);
+    }
+}
+
+void dispatcher::on_message(base::instance_id const& from, messages::handed_over const& message,
+                            base::time_point now, dispatch_actions& actions)
+{
+    auto const entry = state_->entry_index(from);
+    if (entry != no_index)
+    {
+        state_->on_handed_over(entry, message, now, actions);
+    }
+}
+
 void dispatcher::tick(base::time_point now, dispatch_actions& actions)
 {
     state_->tick(now, actions);
--- a/src/routing/dispatcher_state.hpp
+++ b/src/routing/dispatcher_state.hpp
@@ -134,6 +134,20 @@
     void after_slot_change(std::uint32_t service, base::time_point now, dispatch_actions& actions);
     lender_row* lender_of(service_row& service, std::uint32_t entry);
 
+    // handover.cpp
+    base::duration lapse_time(upstream_row const& up) const;
+    /// Starts the wait for the slots of an upstream and asks `previous` for them at `ask_at`.
+    void begin_takeover(std::uint32_t upstream, std::uint32_t previous, base::time_point ask_at,
+                        base::time_point now);
+    void ask_previous(std::uint32_t upstream, base::time_point now, dispatch_actions& actions);
+    void end_takeover(std::uint32_t upstream, base::time_point now, dispatch_actions& actions);
+    void on_take_over(std::uint32_t from, messages::take_over const& it, base::time_point now,
+                      dispatch_actions& actions);
+    void on_handed_over(std::uint32_t from, messages::handed_over const& it, base::time_point now,
+                        dispatch_actions& actions);
+    std::uint32_t still_in_use(std::uint32_t upstream) const;
+    void tell_heir(std::uint32_t upstream, base::time_point now, dispatch_actions& actions);
+
     void tick(base::time_point now, dispatch_actions& actions);
     void handle(timer_entry const& it, base::time_point now, dispatch_actions& actions);
 
--- a/src/routing/dispatcher_test.cpp
+++ b/src/routing/dispatcher_test.cpp
@@ -114,6 +114,7 @@
         now += 10s;
         d.tick(now, actions);
         now -= 10s;
+        actions.clear(); // the handover messages of the setup
     }
 
     void advance(routing::dispatcher & d, base::duration by)
--- /dev/null
+++ b/src/routing/handover_test.cpp
@@ -0,0 +1,327 @@
+#include "fuchsiaproxy/routing/dispatcher.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t slots_of_each = 3;
+constexpr std::size_t upstream_count = 8;
+
+struct open_permit : routing::move_permit
+{
+    bool try_move(base::place_id const&, base::place_id const&, base::byte_count,
+                  base::time_point) override
+    {
+        return true;
+    }
+};
+
+model::configuration one_zone()
+{
+    model::configuration it;
+    it.services.push_back({base::service_id("catalog"),
+                           {},
+                           {{"lookup", "", "/", true, base::request_weight(1), 400ms}},
+                           {},
+                           0.999});
+    it.zones.push_back({base::availability_zone_id("h-a"), base::region_id("h")});
+    model::place place{
+        base::place_id("p"), base::service_id("catalog"), base::availability_zone_id("h-a"), {}};
+    for (std::size_t n = 0; n < upstream_count; ++n)
+    {
+        place.upstreams.push_back({base::upstream_id("u" + std::to_string(n)),
+                                   {"10.0.0.1", 80},
+                                   base::slot_count(slots_of_each),
+                                   400});
+    }
+    it.places.push_back(std::move(place));
+    return it;
+}
+
+/// Entries of one zone whose views follow the membership with a random lag, and a network that
+/// delays, loses and repeats messages.
+struct fleet_model
+{
+    struct event
+    {
+        enum kind_type
+        {
+            message,
+            attempt_end,
+            view
+        } kind;
+        std::string from;
+        std::string to;
+        std::uint64_t process = 0;
+        messages::message body;
+        base::attempt_id attempt;
+        base::upstream_id upstream;
+        std::vector<messages::entry_info> entries;
+    };
+    struct node
+    {
+        std::unique_ptr<routing::dispatcher> dispatcher;
+        std::uint64_t process = 0;
+        bool draining = false;
+    };
+
+    explicit fleet_model(unsigned seed, double loss_rate) : random(seed), loss(loss_rate) {}
+
+    double draw()
+    {
+        return static_cast<double>(random() % 1'000'000) / 1e6;
+    }
+    base::duration draw_up_to(base::duration most)
+    {
+        return base::duration(static_cast<base::duration::rep>(draw() * most.count()));
+    }
+
+    std::vector<messages::entry_info> members() const
+    {
+        std::vector<messages::entry_info> all;
+        for (auto const& it : nodes)
+        {
+            messages::entry_info info;
+            info.id = base::instance_id(it.first);
+            info.region = base::region_id("h");
+            info.zone = base::availability_zone_id("h-a");
+            info.draining = it.second.draining;
+            all.push_back(info);
+        }
+        return all;
+    }
+
+    void spread_view(base::duration least)
+    {
+        for (auto const& it : nodes)
+        {
+            // Later views never arrive before earlier ones.
+            auto& last = last_view[it.first];
+            last = std::max(last, now + least + draw_up_to(2s - least));
+            events.emplace(
+                last, event{event::view, {}, it.first, it.second.process, {}, {}, {}, members()});
+        }
+    }
+
+    void start(std::string const& id)
+    {
+        auto& it = nodes[id];
+        it.process = ++processes;
+        it.draining = false;
+        it.dispatcher = std::make_unique<routing::dispatcher>(
+            routing::dispatcher_identity{base::instance_id(id), base::region_id("h"),
+                                         base::availability_zone_id("h-a")},
+            processes * 1000, permit);
+        it.dispatcher->configure(one_zone(), now);
+        it.dispatcher->set_entries(members(), now);
+        spread_view(0s);
+    }
+    void drain(std::string const& id)
+    {
+        nodes[id].draining = true;
+        spread_view(0s);
+    }
+    void kill(std::string const& id)
+    {
+        nodes.erase(id);
+        spread_view(1s);
+    }
+
+    void perform(std::string const& id, routing::dispatch_actions const& actions)
+    {
+        for (auto const& action : actions)
+        {
+            if (auto const* const it = std::get_if<routing::start_attempt>(&action))
+            {
+                auto& count = open[it->upstream];
+                ++count;
+                most_open = std::max(most_open, count);
+                ++started;
+                auto const end = std::min(now + 5ms + draw_up_to(60ms), it->deadline);
+                events.emplace(end, event{event::attempt_end,
+                                          {},
+                                          id,
+                                          nodes[id].process,
+                                          {},
+                                          it->attempt,
+                                          it->upstream,
+                                          {}});
+            }
+            else if (auto const* const sent = std::get_if<routing::send_message>(&action))
+            {
+                auto const copies = draw() < loss ? 0 : draw() < loss ? 2 : 1;
+                for (int n = 0; n < copies; ++n)
+                {
+                    events.emplace(
+                        now + 100us + draw_up_to(5ms),
+                        event{event::message, id, sent->to.value(), 0, sent->body, {}, {}, {}});
+                }
+            }
+            else if (std::holds_alternative<routing::give_up>(action))
+            {
+                ++refused;
+            }
+        }
+    }
+
+    void handle(event const& it)
+    {
+        routing::dispatch_actions actions;
+        if (it.kind == event::attempt_end)
+        {
+            --open[it.upstream];
+        }
+        auto const found = nodes.find(it.to);
+        if (found == nodes.end() || (it.process != 0 && it.process != found->second.process))
+        {
+            return;
+        }
+        auto& to = *found->second.dispatcher;
+        if (it.kind == event::attempt_end)
+        {
+            to.on_attempt_finished(it.attempt, base::attempt_result::completed, now, actions);
+        }
+        else if (it.kind == event::view)
+        {
+            to.set_entries(it.entries, now);
+        }
+        else
+        {
+            std::visit(
+                [&](auto const& body)
+                {
+                    using type = std::decay_t<decltype(body)>;
+                    if constexpr (std::is_same_v<type, messages::borrow> ||
+                                  std::is_same_v<type, messages::lend> ||
+                                  std::is_same_v<type, messages::give_back> ||
+                                  std::is_same_v<type, messages::take_over> ||
+                                  std::is_same_v<type, messages::handed_over>)
+                    {
+                        to.on_message(base::instance_id(it.from), body, now, actions);
+                    }
+                },
+                it.body);
+        }
+        perform(it.to, actions);
+    }
+
+    void run_for(base::duration length, double requests_per_ms)
+    {
+        for (auto const end = now + length; now < end; now += 1ms)
+        {
+            while (!events.empty() && events.begin()->first <= now)
+            {
+                auto const it = events.begin()->second;
+                events.erase(events.begin());
+                handle(it);
+            }
+            auto const serving = std::count_if(nodes.begin(), nodes.end(),
+                                               [](auto const& it) { return !it.second.draining; });
+            for (auto& it : nodes)
+            {
+                routing::dispatch_actions actions;
+                it.second.dispatcher->tick(now, actions);
+                // Callers divide the load among the entries that do not drain.
+                auto const share = requests_per_ms / static_cast<double>(serving);
+                if (!it.second.draining && draw() < share)
+                {
+                    it.second.dispatcher->enqueue({base::local_request_id(++requests),
+                                                   base::service_id("catalog"),
+                                                   0,
+                                                   now,
+                                                   now + 400ms,
+                                                   {}},
+                                                  now, actions);
+                }
+                perform(it.first, actions);
+            }
+        }
+    }
+
+    std::mt19937 random;
+    double loss;
+    open_permit permit;
+    base::time_point now{};
+    std::uint64_t processes = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t started = 0;
+    std::uint64_t refused = 0;
+    std::uint32_t most_open = 0;
+    std::map<std::string, node> nodes;
+    std::map<std::string, base::time_point> last_view;
+    std::map<base::upstream_id, std::uint32_t> open;
+    std::multimap<base::time_point, event> events;
+};
+
+} // namespace
+
+TEST_GROUP(handover){};
+
+// Guards against more attempts at an upstream than it has slots while owners change.
+TEST(handover, no_upstream_has_more_attempts_than_slots_whatever_the_membership_does)
+{
+    for (unsigned seed = 1; seed <= 12; ++seed)
+    {
+        fleet_model fleet(seed, 0.05);
+        std::vector<std::string> const ids{"a", "b", "c", "d"};
+        fleet.start("a");
+        fleet.start("b");
+        fleet.run_for(6s, 0.45);
+        for (int step = 0; step < 25; ++step)
+        {
+            auto const& id = ids[fleet.random() % ids.size()];
+            if (fleet.nodes.count(id) == 0)
+            {
+                fleet.start(id);
+            }
+            else if (fleet.nodes.size() > 1)
+            {
+                auto const drains = fleet.draw() < 0.5 && !fleet.nodes[id].draining;
+                drains ? fleet.drain(id) : fleet.kill(id);
+            }
+            fleet.run_for(300ms + fleet.draw_up_to(3s), 0.45);
+            CHECK_TEXT(fleet.most_open <= slots_of_each,
+                       ("seed " + std::to_string(seed) + ", step " + std::to_string(step)).c_str());
+        }
+        CHECK(fleet.started > 1000);
+    }
+}
+
+// Prints the requests refused around one change; only the promise on slots is gated.
+TEST(handover, refused_requests_around_a_start_a_planned_stop_and_a_loss)
+{
+    for (std::string const change : {"start", "planned stop", "loss"})
+    {
+        // Entry "a" owns the larger part of the upstreams when it is there.
+        fleet_model fleet(7, 0);
+        fleet.start("b");
+        if (change != "start")
+        {
+            fleet.start("a");
+        }
+        fleet.run_for(10s, 0.45);
+        auto const requests = fleet.requests;
+        auto const refused = fleet.refused;
+        change == "start"  ? fleet.start("a")
+        : change == "loss" ? fleet.kill("a")
+                           : fleet.drain("a");
+        fleet.run_for(6s, 0.45);
+        std::printf("%s: %llu of %llu requests refused\n", change.c_str(),
+                    static_cast<unsigned long long>(fleet.refused - refused),
+                    static_cast<unsigned long long>(fleet.requests - requests));
+        CHECK(fleet.most_open <= slots_of_each);
+    }
+}
--- a/src/routing/lending.cpp
+++ b/src/routing/lending.cpp
@@ -339,6 +339,7 @@
     {
         // The borrower's answers are not seen here; a loan that came back counts as one.
         upstreams[upstream].warmth.on_good();
+        tell_heir(upstream, now, actions);
         after_slot_change(upstreams[upstream].service, now, actions);
     }
 }
@@ -423,6 +424,7 @@
     if (upstream != no_index)
     {
         ++counts.loans_lapsed;
+        tell_heir(upstream, now, actions);
         after_slot_change(upstreams[upstream].service, now, actions);
     }
 }
--- a/src/routing/slot_ledger.hpp
+++ b/src/routing/slot_ledger.hpp
@@ -40,11 +40,22 @@
         return it.own + it.lent;
     }
 
+    /// Sets how many slots may still be in use under an earlier owner.
+    void set_reserved(std::uint32_t upstream, std::uint32_t slots) noexcept
+    {
+        accounts_[upstream].reserved = slots;
+    }
+    std::uint32_t reserved(std::uint32_t upstream) const noexcept
+    {
+        return accounts_[upstream].reserved;
+    }
+
     std::uint32_t free(std::uint32_t upstream) const noexcept
     {
         auto const& it = accounts_[upstream];
         // The configuration may have taken away slots that are in use.
-        return it.slots > it.own + it.lent ? it.slots - it.own - it.lent : 0;
+        auto const taken = it.own + it.lent + it.reserved;
+        return it.slots > taken ? it.slots - taken : 0;
     }
 
     /// Precondition: `free(upstream) > 0`.
@@ -78,6 +89,7 @@
         std::uint32_t slots = 0;
         std::uint32_t own = 0;
         std::uint32_t lent = 0;
+        std::uint32_t reserved = 0;
     };
 
     std::vector<account> accounts_;
--- a/src/routing/tables.hpp
+++ b/src/routing/tables.hpp
@@ -61,6 +61,17 @@
     /// Whether the owner's slots may be handed out: false until the takeover has ended.
     bool settled = false;
     std::uint64_t takeover = 0;
+    /// Entry that this one asks for the slots, or `no_index`.
+    std::uint32_t previous = no_index;
+    /// End of the wait for what earlier owners may have in use.
+    base::time_point free_at;
+    /// Until then this entry may hand the slots over: it was their last owner.
+    base::time_point authority_until;
+    /// Entry that the slots were handed over to, with the number of its takeover.
+    std::uint32_t heir = no_index;
+    std::uint64_t heir_number = 0;
+    std::uint32_t told_in_use = 0;
+    base::time_point lapses_at;
     /// Attempts of this entry, and how many of them are of long classes.
     std::uint32_t in_use = 0;
     std::uint32_t long_in_use = 0;
--- a/src/routing/timer_heap.hpp
+++ b/src/routing/timer_heap.hpp
@@ -21,7 +21,8 @@
     pending_expiry,
     probe_due,
     recheck,
-    takeover_end
+    takeover_end,
+    takeover_ask
 };
 
 /// Something that is due at `at`. `stamp` tells a timer whose subject was replaced.
--- a/src/routing/topology.cpp
+++ b/src/routing/topology.cpp
@@ -242,26 +242,45 @@
             candidates.push_back({it.hash, n, it.zone, it.region, it.draining});
         }
     }
+    auto others = candidates;
+    others.erase(std::remove_if(others.begin(), others.end(),
+                                [&](auto const& it) { return it.index == self_index; }),
+                 others.end());
     for (std::uint32_t n = 0; n < upstreams.size(); ++n)
     {
         auto& up = upstreams[n];
         auto const zone = places[up.place].zone;
         auto const owner =
             up.active ? owner_of(up.hash, zone, zones[zone].region, candidates) : no_index;
-        bool const was_owned = self_index != no_index && up.owner == self_index;
+        auto const old_owner = up.owner;
+        bool const was_owned = self_index != no_index && old_owner == self_index;
         up.owner = owner;
         if (self_index == no_index || owner != self_index)
         {
-            up.settled = false;
+            if (was_owned)
+            {
+                // A new owner that got no answer waits longer than this.
+                up.authority_until = now + settings.view_lag;
+            }
+            continue;
+        }
+        bool const never_asked = !up.settled && up.previous == no_index;
+        if (was_owned && !never_asked)
+        {
+            continue;
+        }
+        // An entry that has just started finds the owner among the other entries.
+        auto const previous = !was_owned && old_owner != no_index
+                                  ? old_owner
+                                  : owner_of(up.hash, zone, zones[zone].region, others);
+        if (!was_owned)
+        {
+            begin_takeover(n, previous, now, now);
         }
-        else if (!was_owned)
+        else if (previous != no_index)
         {
-            // The previous owner may not have seen the change yet, and its loans may be in use.
-            up.settled = false;
-            up.takeover = next_serial++;
-            auto const wait = settings.view_lag + settings.loan_validity +
-                              services[up.service].largest_deadline + settings.deadline_margin;
-            timers.push({now + wait, up.takeover, n, timer_kind::takeover_end});
+            up.previous = previous;
+            timers.push({now, up.takeover, n, timer_kind::takeover_ask});
         }
     }
     rebuild_lists();
