--- a/src/routing/handover_test.cpp
+++ b/src/routing/handover_test.cpp
@@ -325,3 +325,73 @@
         CHECK(fleet.most_open <= slots_of_each);
     }
 }
+
+// Guards against slots that are used before the previous owner stopped, or on the word of an answer
+// that is late or comes from another entry; and against a second answer that raises the number.
+TEST(handover, only_the_answer_to_this_takeover_frees_slots)
+{
+    struct row
+    {
+        char const* name;
+        std::string from;
+        std::uint64_t number_offset;
+        std::vector<std::uint32_t> in_use;
+        std::size_t attempts;
+    };
+    for (auto const& it :
+         {row{"no answer", "b", 0, {}, 0}, row{"nothing in use", "b", 0, {0}, 3},
+          row{"two in use", "b", 0, {2}, 1}, row{"all in use", "b", 0, {3}, 0},
+          row{"answer repeated", "b", 0, {2, 2}, 1}, row{"number falls", "b", 0, {2, 0}, 3},
+          row{"answers crossed", "b", 0, {0, 2}, 3}, row{"other takeover", "b", 1, {0}, 0},
+          row{"other entry", "c", 0, {0}, 0}})
+    {
+        fleet_model fleet(1, 0);
+        routing::dispatcher_settings settings;
+        settings.parts.warming = false;
+        routing::dispatcher d(
+            {base::instance_id("a"), base::region_id("h"), base::availability_zone_id("h-a")}, 1,
+            fleet.permit, settings);
+        auto configuration = one_zone();
+        configuration.places[0].upstreams.resize(1);
+        d.configure(configuration, fleet.now);
+        for (std::string const id : {"a", "b", "c"})
+        {
+            fleet.nodes[id].draining = id != "b";
+        }
+        d.set_entries(fleet.members(), fleet.now); // "b" is the owner
+        for (std::string const id : {"a", "b", "c"})
+        {
+            fleet.nodes[id].draining = id != "a";
+        }
+        d.set_entries(fleet.members(), fleet.now); // "b" drains and "a" is the owner
+        routing::dispatch_actions actions;
+        d.tick(fleet.now, actions);
+        LONGS_EQUAL(1, actions.size());
+        auto const& sent = std::get<routing::send_message>(actions[0]);
+        CHECK(sent.to == base::instance_id("b"));
+        auto const asked = std::get<messages::take_over>(sent.body);
+        for (auto const in_use : it.in_use)
+        {
+            d.on_message(base::instance_id(it.from),
+                         messages::handed_over{asked.number + it.number_offset, asked.upstream,
+                                               in_use, 900ms},
+                         fleet.now, actions);
+        }
+        actions.clear();
+        for (std::uint64_t n = 1; n <= 5; ++n)
+        {
+            d.enqueue({base::local_request_id(n),
+                       base::service_id("catalog"),
+                       0,
+                       fleet.now,
+                       fleet.now + 400ms,
+                       {}},
+                      fleet.now, actions);
+        }
+        auto const started =
+            std::count_if(actions.begin(), actions.end(),
+                          [](auto const& action)
+                          { return std::holds_alternative<routing::start_attempt>(action); });
+        CHECK_EQUAL_TEXT(it.attempts, static_cast<std::size_t>(started), it.name);
+    }
+}
