--- a/src/routing/handover_test.cpp
+++ b/src/routing/handover_test.cpp
@@ -395,3 +395,55 @@
         CHECK_EQUAL_TEXT(it.attempts, static_cast<std::size_t>(started), it.name);
     }
 }
+
+// Guards against two entries that both believe that the slots were handed over to them.
+TEST(handover, the_previous_owner_answers_one_new_owner_only)
+{
+    struct ask
+    {
+        std::string from;
+        std::uint64_t number;
+        bool answered;
+    };
+    struct row
+    {
+        char const* name;
+        base::duration waited;
+        std::vector<ask> asks;
+    };
+    for (auto const& it :
+         {row{"asked twice", 0s, {{"b", 5, true}, {"b", 5, true}}},
+          row{"two new owners", 0s, {{"b", 5, true}, {"c", 9, false}, {"b", 5, true}}},
+          row{"new process of the new owner", 0s, {{"b", 5, true}, {"b", 6, false}}},
+          row{"asked within the view lag", 2900ms, {{"b", 5, true}}},
+          row{"asked after the view lag", 3s, {{"b", 5, false}}}})
+    {
+        fleet_model fleet(1, 0);
+        routing::dispatcher d(
+            {base::instance_id("a"), base::region_id("h"), base::availability_zone_id("h-a")}, 1,
+            fleet.permit);
+        d.configure(one_zone(), fleet.now);
+        for (std::string const id : {"a", "b", "c"})
+        {
+            fleet.nodes[id].draining = id != "a";
+        }
+        d.set_entries(fleet.members(), fleet.now);
+        routing::dispatch_actions actions;
+        fleet.now += 10s;
+        d.tick(fleet.now, actions);
+        for (auto& node : fleet.nodes)
+        {
+            node.second.draining = node.first == "a";
+        }
+        d.set_entries(fleet.members(), fleet.now); // "a" is no longer the owner
+        fleet.now += it.waited;
+        for (auto const& one : it.asks)
+        {
+            actions.clear();
+            d.on_message(base::instance_id(one.from),
+                         messages::take_over{one.number, base::upstream_id("u0")}, fleet.now,
+                         actions);
+            CHECK_EQUAL_TEXT(one.answered ? 1U : 0U, actions.size(), it.name);
+        }
+    }
+}
