--- a/src/routing/tables.hpp
+++ b/src/routing/tables.hpp
@@ -61,6 +61,17 @@
     /// Whether the owner's slots may be handed out: false until the takeover has ended.
     bool settled = false;
     std::uint64_t takeover = 0;
+    /// Entry that this one asks for the slots, or `no_index`.
+    std::uint32_t previous = no_index;
+    /// End of the wait for what earlier owners may have in use.
+    base::time_point free_at;
+    /// Until then this entry may hand the slots over: it was their last owner.
+    base::time_point authority_until;
+    /// Entry that the slots were handed over to, with the number of its takeover.
+    std::uint32_t heir = no_index;
+    std::uint64_t heir_number = 0;
+    std::uint32_t told_in_use = 0;
+    base::time_point lapses_at;
     /// Attempts of this entry, and how many of them are of long classes.
     std::uint32_t in_use = 0;
     std::uint32_t long_in_use = 0;
@@ -117,8 +128,8 @@
 {
     service_row(base::service_id name, std::size_t queue_capacity, double retry_share,
                 double hedge_share, double burst)
-        : id(std::move(name)), queue(queue_capacity), retries(retry_share, burst),
-          hedges(hedge_share, burst)
+        : id(std::move(name)), queue(queue_capacity), retries(retry_share, burst, burst),
+          hedges(hedge_share, burst, 0)
     {
     }
 
@@ -140,6 +151,7 @@
     /// Attempts that are due for a hedge and wait for a slot.
     std::vector<std::uint64_t> waiting_hedges;
     bool recheck_armed = false;
+    /// Starts filled: an entry that has just started or has little traffic must be able to retry.
     attempt_budget retries;
     attempt_budget hedges;
     std::uint32_t in_flight = 0;
@@ -182,6 +194,8 @@
     base::time_point target_until;
     /// Upstream of the previous attempt, which a further attempt avoids.
     std::uint32_t avoid = no_index;
+    /// Until then the request waits for a slot of another upstream than `avoid`.
+    base::time_point avoid_until;
     std::uint32_t attempts_made = 0;
     std::array<std::uint32_t, 2> running{no_index, no_index};
     std::uint64_t serial = 0;
