--- a/src/policy_bench/decision_cost_bench.cpp
+++ b/src/policy_bench/decision_cost_bench.cpp
@@ -17,7 +17,8 @@
 } // namespace
 
 // Counts the allocations of the whole program.
-void* operator new(std::size_t size)
+// Not inlined: g++ 12 otherwise takes the calls of malloc and free for a mismatch.
+[[gnu::noinline]] void* operator new(std::size_t size)
 {
     ++allocations;
     if (void* const it = std::malloc(size))
@@ -27,12 +28,12 @@
     throw std::bad_alloc();
 }
 
-void operator delete(void* it) noexcept
+[[gnu::noinline]] void operator delete(void* it) noexcept
 {
     std::free(it);
 }
 
-void operator delete(void* it, std::size_t) noexcept
+[[gnu::noinline]] void operator delete(void* it, std::size_t) noexcept
 {
     std::free(it);
 }
