Ask an entry that is only mentioned for its own description

Each entry that a digest mentioned was asked for its whole view, so a start cost views in the square of the number of entries.

Ruled out: a limit on the questions for each digest; a trial with three did not help, because the answers stayed whole views.

Change: an entry that is mentioned but not trusted is introduced by a heartbeat and a pull that has no changes to fetch; a digest of changes without a base does not count as one.

--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "fuchsiaproxy/fleet/rendezvous.hpp"
@@ -98,8 +99,10 @@
     {
         sync.listed.clear();
     }
+    // Changes mean nothing without the view that they are relative to.
+    bool const has_base = it.full || (sync.incarnation == from.incarnation && sync.revision != 0);
     sync.incarnation = from.incarnation;
-    sync.revision = it.revision;
+    sync.revision = has_base ? it.revision : 0;
     auto const* const sender = table_.find(from.from);
     auto const sender_zone = sender == nullptr ? self_.zone : sender->info.zone;
     for (auto const& entry : it.entries)
@@ -119,7 +122,7 @@
         }
         else if (table_.find(entry.id) == nullptr)
         {
-            ask(entry.id, entry.peer_address, out);
+            introduce(entry, out);
         }
     }
     for (auto const& id : it.removed)
@@ -196,6 +199,19 @@
     out.emplace_back(send_to_entry{id, messages::pull{self_.version, {}, 0}});
 }
 
+void fleet_node::introduce(messages::entry_info const& entry, fleet_actions& out)
+{
+    out.emplace_back(use_address{entry.id, entry.peer_address});
+    out.emplace_back(send_to_entry{entry.id, messages::heartbeat{self_}});
+    // Asks for nothing but the receiver's own description. A whole view from each entry that is
+    // mentioned would make the start of a fleet cost views in the square of its size.
+    messages::pull own_description;
+    own_description.version = self_.version;
+    own_description.known_hub = entry.incarnation;
+    own_description.known_revision = std::numeric_limits<std::uint64_t>::max();
+    out.emplace_back(send_to_entry{entry.id, own_description});
+}
+
 void fleet_node::on_adopted(base::config_version version, std::string document, base::time_point,
                             fleet_actions& out)
 {
--- a/src/fleet/fleet_node_test.cpp
+++ b/src/fleet/fleet_node_test.cpp
@@ -110,7 +110,8 @@
     std::set<base::instance_id> cut_off;
     base::time_point now{1h};
     std::size_t messages_sent = 0;
-    std::size_t configurations_sent = 0;
+    /// Descriptions of entries in all digests.
+    std::size_t entries_sent = 0;
 
 private:
     struct packet
@@ -126,7 +127,10 @@
             if (auto const* const send = std::get_if<fleet::send_to_entry>(&action))
             {
                 ++messages_sent;
-                configurations_sent += std::holds_alternative<messages::config_push>(send->body);
+                if (auto const* const digest = std::get_if<messages::digest>(&send->body))
+                {
+                    entries_sent += digest->entries.size();
+                }
                 messages::envelope const it{id, nodes.at(id)->self().incarnation, ++sequence_,
                                             send->body};
                 queue_.push_back({send->to, it});
@@ -358,6 +362,37 @@
     }
 }
 
+TEST_GROUP(large_fleet)
+{
+    fake_fleet fleet;
+};
+
+// Guards against a storm at the start of a whole fleet: an entry fetches the view of at most three
+// seeds and two hubs, and hubs fetch the zones of others, so ten views for each entry are enough.
+TEST(large_fleet, a_cold_start_costs_at_most_ten_views_for_each_entry)
+{
+    add_entries(fleet, 24);
+    fleet.run_for(10s);
+    auto const entries = fleet.nodes.size();
+    for (auto const& it : fleet.nodes)
+    {
+        LONGS_EQUAL(entries, it.second->live_entries().size());
+    }
+    CHECK(fleet.entries_sent <= 10 * entries * entries);
+}
+
+// Guards against views that are sent again and again although nothing changes: an answer holds the
+// sender's own description only.
+TEST(large_fleet, a_steady_fleet_sends_no_views)
+{
+    add_entries(fleet, 24);
+    fleet.run_for(20s);
+    fleet.entries_sent = 0;
+    auto const messages = fleet.messages_sent;
+    fleet.run_for(10s);
+    CHECK(fleet.entries_sent <= fleet.messages_sent - messages);
+}
+
 TEST_GROUP(look_up)
 {
     fake_fleet fleet;
--- a/src/include/fuchsiaproxy/fleet/fleet_node.hpp
+++ b/src/include/fuchsiaproxy/fleet/fleet_node.hpp
@@ -188,6 +188,7 @@
                 fleet_actions& out);
 
     void ask(base::instance_id const& id, std::string const& peer_address, fleet_actions& out);
+    void introduce(messages::entry_info const& entry, fleet_actions& out);
     void learn(messages::entry_info const& info, base::time_point now, fleet_actions& out);
     void note_version(base::instance_id const& from, base::config_version version,
                       base::time_point now, fleet_actions& out);
