--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -39,13 +39,27 @@
     : settings_(settings), fleet_(settings.fleet, self, now),
       claims_({self.id, self.incarnation}, settings.claims, now),
       shares_({self.id, self.incarnation}, self.zone),
-      dispatcher_({self.id, self.region, self.zone}, seed, shares_, settings.routing)
+      dispatcher_({self.id, self.region, self.zone}, seed, shares_, settings.routing),
+      last_event_(now)
 {
     dispatcher_.set_entries(fleet_.live_entries(), now);
 }
 
+void engine::note_time(base::time_point now)
+{
+    // `tick` is called four times in a heartbeat period. After a longer pause others may have taken
+    // this entry for lost, and the owners of its upstreams may have changed.
+    auto const longest_pause = settings_.fleet.lost_after - settings_.fleet.heartbeat_period;
+    if (now - last_event_ >= longest_pause)
+    {
+        dispatcher_.on_resumed(now);
+    }
+    last_event_ = now;
+}
+
 void engine::on_request(arrived_request const& it, base::time_point now, engine_actions& out)
 {
+    note_time(now);
     if (!adoption_.ready())
     {
         refuse(it.id, base::error_kind::not_ready, out);
@@ -194,6 +208,7 @@
 bool engine::on_attempt_head(base::attempt_id attempt, unsigned status, base::time_point now,
                              engine_actions& out)
 {
+    note_time(now);
     auto const found = attempts_.find(attempt);
     if (found == attempts_.end())
     {
@@ -217,6 +232,7 @@
                                  unsigned status, bool leaving, base::time_point now,
                                  engine_actions& out)
 {
+    note_time(now);
     auto const found = attempts_.find(attempt);
     if (found == attempts_.end())
     {
@@ -349,6 +365,7 @@
 void engine::on_caller_gone(base::local_request_id request, base::time_point now,
                             engine_actions& out)
 {
+    note_time(now);
     auto const found = requests_.find(request);
     if (found == requests_.end())
     {
--- a/src/engine/engine_fleet.cpp
+++ b/src/engine/engine_fleet.cpp
@@ -66,6 +66,7 @@
 
 void engine::on_message(messages::envelope const& it, base::time_point now, engine_actions& out)
 {
+    note_time(now);
     suspects_.erase(it.from);
     std::visit(
         [&](auto const& body)
@@ -301,6 +302,7 @@
 
 void engine::tick(base::time_point now, engine_actions& out)
 {
+    note_time(now);
     if (now >= next_counts_)
     {
         auto const entries = static_cast<std::int64_t>(fleet_.live_entries().size());
--- a/src/fleet/look_up.cpp
+++ b/src/fleet/look_up.cpp
@@ -1,8 +1,9 @@
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
-#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "fuchsiaproxy/fleet/fleet_node.hpp"
 #include "fuchsiaproxy/fleet/rendezvous.hpp"
@@ -15,54 +16,92 @@
 // An entry above this load is offered after the others at the same distance.
 constexpr std::uint32_t loaded_permille = 900;
 
-enum class distance : std::uint8_t
+struct candidate
 {
-    same_zone,
-    same_region,
-    other_region
+    bool loaded = false;
+    std::uint64_t weight = 0;
+    messages::entry_info const* entry = nullptr;
+
+    friend bool operator<(candidate const& a, candidate const& b)
+    {
+        return a.loaded != b.loaded ? b.loaded : a.weight < b.weight;
+    }
 };
 
-distance distance_to(messages::entry_info const& entry, base::region_id const& region,
-                     base::availability_zone_id const& zone)
+using entry_list = std::vector<messages::entry_info const*>;
+
+// Appends the best of `entries` to `answer`, up to `count` in all.
+void append_best(entry_list const& entries, std::string const& salt, std::size_t count,
+                 std::vector<messages::entry_info>& answer)
 {
-    if (entry.zone == zone)
+    std::vector<candidate> ranked;
+    ranked.reserve(entries.size());
+    for (auto const* const entry : entries)
+    {
+        if (!entry->draining && entry->version.value() != 0)
+        {
+            ranked.push_back({entry->load_permille > loaded_permille,
+                              rendezvous_weight(salt, entry->id.value()), entry});
+        }
+    }
+    auto const n = std::min(count - answer.size(), ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked.end());
+    for (std::size_t i = 0; i < n; ++i)
     {
-        return distance::same_zone;
+        answer.push_back(*ranked[i].entry);
     }
-    return entry.region == region ? distance::same_region : distance::other_region;
 }
 
 } // namespace
 
+void fleet_node::update_zone_index() const
+{
+    // Entries are removed only with a new revision, so the pointers of the index stay valid.
+    if (zone_index_revision_ == table_.revision() && !zone_index_.empty())
+    {
+        return;
+    }
+    zone_index_.clear();
+    zone_index_revision_ = table_.revision();
+    zone_index_[self_.zone] = {self_.region, {&self_}};
+    for (auto const& it : table_.entries())
+    {
+        auto& zone = zone_index_[it.second.info.zone];
+        zone.region = it.second.info.region;
+        zone.entries.push_back(&it.second.info);
+    }
+}
+
 std::vector<messages::entry_info> fleet_node::look_up(base::region_id const& region,
                                                       base::availability_zone_id const& zone,
                                                       std::uint64_t salt, std::size_t count) const
 {
-    using key = std::tuple<distance, bool, std::uint64_t>;
+    update_zone_index();
     auto const salt_text = std::to_string(salt);
-    std::vector<std::pair<key, messages::entry_info const*>> ranked;
-    auto const consider = [&](messages::entry_info const& entry)
-    {
-        if (!entry.draining && entry.version.value() != 0)
-        {
-            key const rank{distance_to(entry, region, zone), entry.load_permille > loaded_permille,
-                           rendezvous_weight(salt_text, entry.id.value())};
-            ranked.emplace_back(rank, &entry);
-        }
-    };
-    consider(self_);
-    for (auto const& it : table_.entries())
+    std::vector<messages::entry_info> answer;
+    answer.reserve(count);
+    auto const own = zone_index_.find(zone);
+    if (own != zone_index_.end())
     {
-        consider(it.second.info);
+        append_best(own->second.entries, salt_text, count, answer);
     }
-    std::size_t const n = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n), ranked.end(),
-                      [](auto const& a, auto const& b) { return a.first < b.first; });
-    std::vector<messages::entry_info> answer;
-    answer.reserve(n);
-    for (std::size_t i = 0; i < n; ++i)
+    // Farther zones are only ranked when the nearer ones have too few entries.
+    for (bool const same_region : {true, false})
     {
-        answer.push_back(*ranked[i].second);
+        if (answer.size() == count)
+        {
+            break;
+        }
+        entry_list farther;
+        for (auto const& it : zone_index_)
+        {
+            if (it.first != zone && (it.second.region == region) == same_region)
+            {
+                farther.insert(farther.end(), it.second.entries.begin(), it.second.entries.end());
+            }
+        }
+        append_best(farther, salt_text, count, answer);
     }
     return answer;
 }
--- a/src/include/fuchsiaproxy/engine/engine.hpp
+++ b/src/include/fuchsiaproxy/engine/engine.hpp
@@ -217,6 +217,7 @@
 
     using request_map = std::unordered_map<base::local_request_id, request_state>;
 
+    void note_time(base::time_point now);
     void refuse(base::local_request_id id, base::error_kind kind, engine_actions& out);
     void enqueue(base::local_request_id id, request_state const& it, base::time_point now,
                  engine_actions& out);
@@ -252,6 +253,7 @@
     std::map<base::instance_id, base::time_point> suspects_;
     std::optional<requests::entry_incarnation> witness_;
     base::time_point next_counts_;
+    base::time_point last_event_;
     bool draining_ = false;
     /// When the dispatcher is told that this entry drains; the largest time when it was told.
     std::optional<base::time_point> drain_shown_at_;
--- a/src/include/fuchsiaproxy/fleet/fleet_node.hpp
+++ b/src/include/fuchsiaproxy/fleet/fleet_node.hpp
@@ -86,6 +86,9 @@
 class fleet_node
 {
 public:
+    fleet_node(fleet_node const&) = delete;
+    fleet_node& operator=(fleet_node const&) = delete;
+
     /// Creates the node of the entry `self`. `self.incarnation` is greater than that of every
     /// earlier process of the same instance.
     fleet_node(fleet_settings settings, messages::entry_info self, base::time_point now);
@@ -166,6 +169,12 @@
         std::set<base::instance_id> listed;
     };
 
+    struct zone_entries
+    {
+        base::region_id region;
+        std::vector<messages::entry_info const*> entries;
+    };
+
     struct leaving_entry
     {
         base::time_point until;
@@ -205,11 +214,15 @@
     void send_heartbeats(fleet_actions& out);
     void pull_from_other_hubs(base::time_point now, fleet_actions& out);
     messages::pull pull_for(base::instance_id const& hub) const;
+    void update_zone_index() const;
 
     fleet_settings settings_;
     messages::entry_info self_;
     std::string document_;
     entry_table table_;
+    /// Entries by availability zone for look-ups, made anew when the table has a new revision.
+    mutable std::map<base::availability_zone_id, zone_entries> zone_index_;
+    mutable std::uint64_t zone_index_revision_ = 0;
     std::map<base::instance_id, hub_sync> syncs_;
     std::map<base::upstream_id, leaving_entry> leaving_;
     base::config_version fetching_;
--- a/src/include/fuchsiaproxy/routing/dispatcher.hpp
+++ b/src/include/fuchsiaproxy/routing/dispatcher.hpp
@@ -148,6 +148,11 @@
     /// The upstream may get work again, for example after it restarted.
     void clear_leaving(base::upstream_id const& upstream);
 
+    /// This process was frozen for so long that others may have taken it for lost: it hands out no
+    /// slot of its upstreams before the entry that may have owned them meanwhile has handed them
+    /// over, or the time of a lost owner has passed.
+    void on_resumed(base::time_point now);
+
     /// Starts, queues or refuses `request`. Its deadline is limited to the largest deadline of the
     /// service's classes. Precondition: `request.id` was not enqueued before.
     void enqueue(queued_request const& request, base::time_point now, dispatch_actions& actions);
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -98,6 +98,11 @@
     state_->set_leaving(upstream, false);
 }
 
+void dispatcher::on_resumed(base::time_point now)
+{
+    state_->doubt_ownership(now);
+}
+
 void dispatcher::enqueue(queued_request const& request, base::time_point now,
                          dispatch_actions& actions)
 {
--- a/src/routing/dispatcher_state.hpp
+++ b/src/routing/dispatcher_state.hpp
@@ -134,7 +134,15 @@
     void after_slot_change(std::uint32_t service, base::time_point now, dispatch_actions& actions);
     lender_row* lender_of(service_row& service, std::uint32_t entry);
 
+    // topology.cpp
+    std::vector<owner_candidate> live_candidates(bool with_self) const;
+    /// Returns the owner that `upstream` would have among the entries of `candidates`.
+    std::uint32_t owner_among(upstream_row const& up,
+                              std::vector<owner_candidate> const& candidates) const;
+
     // handover.cpp
+    /// Takes every owned upstream as one whose slots another entry may hand out.
+    void doubt_ownership(base::time_point now);
     base::duration lapse_time(upstream_row const& up) const;
     /// Starts the wait for the slots of an upstream and asks `previous` for them at `ask_at`.
     void begin_takeover(std::uint32_t upstream, std::uint32_t previous, base::time_point ask_at,
--- a/src/routing/handover.cpp
+++ b/src/routing/handover.cpp
@@ -38,6 +38,19 @@
     }
 }
 
+void dispatcher::state::doubt_ownership(base::time_point now)
+{
+    auto const others = live_candidates(false);
+    for (std::uint32_t n = 0; n < upstreams.size(); ++n)
+    {
+        if (owned(upstreams[n]))
+        {
+            begin_takeover(n, owner_among(upstreams[n], others), now, now);
+        }
+    }
+    rebuild_lists();
+}
+
 void dispatcher::state::ask_previous(std::uint32_t upstream, base::time_point now,
                                      dispatch_actions& actions)
 {
--- a/src/routing/handover_test.cpp
+++ b/src/routing/handover_test.cpp
@@ -447,3 +447,34 @@
         }
     }
 }
+
+// Guards against a frozen owner that goes on with its slots after others have taken them over.
+TEST(handover, a_resumed_owner_hands_out_nothing_before_it_has_asked)
+{
+    fleet_model fleet(1, 0);
+    routing::dispatcher d(
+        {base::instance_id("a"), base::region_id("h"), base::availability_zone_id("h-a")}, 1,
+        fleet.permit);
+    auto configuration = one_zone();
+    configuration.places[0].upstreams.resize(1);
+    d.configure(configuration, fleet.now);
+    fleet.nodes["a"].draining = false;
+    fleet.nodes["b"].draining = true;
+    d.set_entries(fleet.members(), fleet.now);
+    fleet.nodes["b"].draining = false;
+    routing::dispatch_actions actions;
+    fleet.now += 10s;
+    d.tick(fleet.now, actions);
+    d.on_resumed(fleet.now);
+    actions.clear();
+    d.enqueue({base::local_request_id(1),
+               base::service_id("catalog"),
+               0,
+               fleet.now,
+               fleet.now + 400ms,
+               {}},
+              fleet.now, actions);
+    CHECK(std::none_of(actions.begin(), actions.end(),
+                       [](auto const& action)
+                       { return std::holds_alternative<routing::start_attempt>(action); }));
+}
--- a/src/routing/topology.cpp
+++ b/src/routing/topology.cpp
@@ -231,27 +231,35 @@
     assign_owners(now);
 }
 
-void dispatcher::state::assign_owners(base::time_point now)
+std::vector<owner_candidate> dispatcher::state::live_candidates(bool with_self) const
 {
     std::vector<owner_candidate> candidates;
     for (std::uint32_t n = 0; n < entries.size(); ++n)
     {
         auto const& it = entries[n];
-        if (it.live)
+        if (it.live && (with_self || n != self_index))
         {
             candidates.push_back({it.hash, n, it.zone, it.region, it.draining});
         }
     }
-    auto others = candidates;
-    others.erase(std::remove_if(others.begin(), others.end(),
-                                [&](auto const& it) { return it.index == self_index; }),
-                 others.end());
+    return candidates;
+}
+
+std::uint32_t dispatcher::state::owner_among(upstream_row const& up,
+                                             std::vector<owner_candidate> const& candidates) const
+{
+    auto const zone = places[up.place].zone;
+    return owner_of(up.hash, zone, zones[zone].region, candidates);
+}
+
+void dispatcher::state::assign_owners(base::time_point now)
+{
+    auto const candidates = live_candidates(true);
+    auto const others = live_candidates(false);
     for (std::uint32_t n = 0; n < upstreams.size(); ++n)
     {
         auto& up = upstreams[n];
-        auto const zone = places[up.place].zone;
-        auto const owner =
-            up.active ? owner_of(up.hash, zone, zones[zone].region, candidates) : no_index;
+        auto const owner = up.active ? owner_among(up, candidates) : no_index;
         auto const old_owner = up.owner;
         bool const was_owned = self_index != no_index && old_owner == self_index;
         up.owner = owner;
@@ -270,9 +278,8 @@
             continue;
         }
         // An entry that has just started finds the owner among the other entries.
-        auto const previous = !was_owned && old_owner != no_index
-                                  ? old_owner
-                                  : owner_of(up.hash, zone, zones[zone].region, others);
+        auto const previous =
+            !was_owned && old_owner != no_index ? old_owner : owner_among(up, others);
         if (!was_owned)
         {
             begin_takeover(n, previous, now, now);
