--- a/scripts/loopback/deployment.py
+++ b/scripts/loopback/deployment.py
@@ -281,7 +281,10 @@
     def is_ready(self, entry):
         service = self.services[0]["id"]
         url = f"http://{entry['callers']}/lookup?service={service}&zone={entry['zone']}"
-        return len(http("GET", url)["entries"]) == 3
+        # Entries that have started together hand out no slot before those of earlier processes must
+        # be free, so a request is the proof.
+        return (len(http("GET", url)["entries"]) == 3 and
+                http("GET", f"http://{entry['callers']}/{service}/items") is not None)
 
     def start_caller(self, name, zone, service, rate, count, seed):
         entries = [it["callers"] for it in self.entries.values() if it["zone"] == zone]
