--- a/src/capacity_bench/sections.hpp
+++ b/src/capacity_bench/sections.hpp
@@ -8,9 +8,9 @@
 namespace fuchsiaproxy::capacity_bench
 {
 
-/// Bytes of the messages of the fleet, and memory and look-ups of one entry, for sizes of the
-/// fleet up to `max_entries`.
-void measure_view(std::size_t max_entries, report& out);
+/// Bytes of the messages of the fleet, and memory and look-ups of one entry, up to the target
+/// size.
+void measure_view(report& out);
 
 /// Traffic of each role while a fleet in which nobody knows anybody starts. Limited to 300 entries.
 void measure_start(std::size_t max_entries, report& out);
--- a/src/capacity_bench/view_section.cpp
+++ b/src/capacity_bench/view_section.cpp
@@ -16,6 +16,7 @@
 
 constexpr base::time_point start{std::chrono::hours(1)};
 constexpr std::size_t look_ups = 400;
+constexpr std::size_t target_entries = 1800;
 
 // A view as a hub of the entry's zone sends it.
 messages::envelope view_from(std::size_t entries, std::size_t sender)
@@ -114,9 +115,9 @@
 
 } // namespace
 
-void measure_view(std::size_t max_entries, report& out)
+void measure_view(report& out)
 {
-    auto const sizes = fleet_sizes(max_entries);
+    auto const sizes = fleet_sizes(target_entries);
     measure_bytes(sizes, out);
     measure_node(sizes, out);
 }
