Use one budget of extra attempts and one set of configuration keys

Cause: routing had a token bucket of its own beside limits::extra_attempt_budget, and the operators' API named the keys of the configuration a second time.

Ruled out: keeping the bucket in floating point; the shares are whole thousandths.

Change: routing uses limits::extra_attempt_budget, with an empty start for hedges; platform/configuration_keys.hpp has the keys.

--- a/src/include/fuchsiaproxy/limits/extra_attempt_budget.hpp
+++ b/src/include/fuchsiaproxy/limits/extra_attempt_budget.hpp
@@ -22,7 +22,14 @@
 public:
     /// Starts with `burst` attempts, which is also the most that can be saved up.
     explicit extra_attempt_budget(std::uint32_t permille, std::uint32_t burst = default_burst)
-        : permille_(permille), capacity_(std::uint64_t{burst} * cost), tokens_(capacity_)
+        : extra_attempt_budget(permille, burst, burst)
+    {
+    }
+
+    /// Starts with `first` attempts and saves up at most `burst`. Precondition: `first <= burst`.
+    extra_attempt_budget(std::uint32_t permille, std::uint32_t burst, std::uint32_t first)
+        : permille_(permille), capacity_(std::uint64_t{burst} * cost),
+          tokens_(std::uint64_t{first} * cost)
     {
     }
 
--- a/src/include/fuchsiaproxy/operators/configuration_service.hpp
+++ b/src/include/fuchsiaproxy/operators/configuration_service.hpp
@@ -7,17 +7,12 @@
 
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/model/apply_change.hpp"
+#include "fuchsiaproxy/platform/configuration_keys.hpp"
 #include "fuchsiaproxy/platform/store.hpp"
 
 namespace fuchsiaproxy::operators
 {
 
-/// Key of the manifest.
-constexpr auto head_key = "config/head";
-
-/// Returns the key of the segment with this content hash. Thread safe.
-std::string segment_key(std::string const& hash);
-
 /// The accepted configuration and where it was read. Version 0 and revision 0 while there is none.
 struct current_configuration
 {
--- /dev/null
+++ b/src/include/fuchsiaproxy/platform/configuration_keys.hpp
@@ -0,0 +1,20 @@
+#ifndef FUCHSIAPROXY_PLATFORM_CONFIGURATION_KEYS_HPP
+#define FUCHSIAPROXY_PLATFORM_CONFIGURATION_KEYS_HPP
+
+#include <string>
+
+namespace fuchsiaproxy::platform
+{
+
+/// Key of the manifest of the configuration in force.
+constexpr char const* configuration_head_key = "config/head";
+
+/// Returns the key of the segment with `hash`. Thread safe.
+inline std::string configuration_segment_key(std::string const& hash)
+{
+    return "config/segment/" + hash;
+}
+
+} // namespace fuchsiaproxy::platform
+
+#endif
--- a/src/include/fuchsiaproxy/platform/configuration_reader.hpp
+++ b/src/include/fuchsiaproxy/platform/configuration_reader.hpp
@@ -11,17 +11,12 @@
 #include "fuchsiaproxy/base/timer_service.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "fuchsiaproxy/model/manifest.hpp"
+#include "fuchsiaproxy/platform/configuration_keys.hpp"
 #include "fuchsiaproxy/platform/store.hpp"
 
 namespace fuchsiaproxy::platform
 {
 
-/// Key of the manifest of the configuration in force.
-constexpr char const* configuration_head_key = "config/head";
-
-/// Returns the key of the segment with `hash`. Thread safe.
-std::string configuration_segment_key(std::string const& hash);
-
 /// An accepted configuration and its JSON text.
 struct accepted_configuration
 {
--- a/src/include/fuchsiaproxy/routing/settings.hpp
+++ b/src/include/fuchsiaproxy/routing/settings.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/limits/extra_attempt_budget.hpp"
 
 namespace fuchsiaproxy::routing
 {
@@ -89,11 +90,11 @@
     /// the network delay by which the upstream's own deadline is later.
     base::duration deadline_margin = std::chrono::milliseconds(50);
 
-    /// Shares of first attempts that may be followed by a retry or a hedge.
-    double retry_share = 0.02;
-    double hedge_share = 0.03;
+    /// Retries and hedges for each 1,000 first attempts.
+    std::uint32_t retry_permille = limits::retry_permille;
+    std::uint32_t hedge_permille = limits::hedge_permille;
     /// Extra attempts that may be saved up for a burst.
-    double budget_burst = 10;
+    std::uint32_t budget_burst = 10;
     std::uint32_t max_attempts = 3;
     /// Quantile of the class's service time after which an attempt is hedged.
     double hedge_quantile = 0.95;
--- a/src/operators/configuration_service.cpp
+++ b/src/operators/configuration_service.cpp
@@ -17,11 +17,6 @@
 
 } // namespace
 
-std::string segment_key(std::string const& hash)
-{
-    return "config/segment/" + hash;
-}
-
 namespace
 {
 
@@ -49,7 +44,8 @@
 
     void start()
     {
-        service_.store_.get(head_key, [self = shared_from_this()](auto answer)
+        service_.store_.get(platform::configuration_head_key,
+                            [self = shared_from_this()](auto answer)
                             { self->on_head(std::move(answer)); });
     }
 
@@ -71,8 +67,9 @@
         auto head = model::parse_manifest(*answer.value().value);
         if (!head)
         {
-            done_(make_error(head.error().kind,
-                             std::string("key ") + head_key + ": " + head.error().message));
+            done_(make_error(head.error().kind, std::string("key ") +
+                                                    platform::configuration_head_key + ": " +
+                                                    head.error().message));
             return;
         }
         state_.head = std::move(head).value();
@@ -87,7 +84,8 @@
             auto const known = service_.documents_.find(hash);
             if (known == service_.documents_.end())
             {
-                service_.store_.get(segment_key(hash), [self = shared_from_this()](auto answer)
+                service_.store_.get(platform::configuration_segment_key(hash),
+                                    [self = shared_from_this()](auto answer)
                                     { self->on_segment(std::move(answer)); });
                 return;
             }
@@ -181,7 +179,7 @@
         }
         auto const& it = outcome_.segments[next_];
         service_.store_.compare_and_swap(
-            segment_key(it.hash), platform::key_revision(0), it.document,
+            platform::configuration_segment_key(it.hash), platform::key_revision(0), it.document,
             [self = shared_from_this()](auto answer) { self->on_segment(std::move(answer)); });
     }
 
@@ -207,9 +205,9 @@
 
     void write_head()
     {
-        service_.store_.compare_and_swap(head_key, state_.revision, model::to_json(outcome_.head),
-                                         [self = shared_from_this()](auto answer)
-                                         { self->on_head(std::move(answer)); });
+        service_.store_.compare_and_swap(
+            platform::configuration_head_key, state_.revision, model::to_json(outcome_.head),
+            [self = shared_from_this()](auto answer) { self->on_head(std::move(answer)); });
     }
 
     void on_head(base::result<platform::key_revision> answer)
@@ -240,7 +238,8 @@
             give_up();
             return;
         }
-        service_.store_.get(head_key, [self = shared_from_this()](auto answer)
+        service_.store_.get(platform::configuration_head_key,
+                            [self = shared_from_this()](auto answer)
                             { self->on_resolution(std::move(answer)); });
     }
 
--- a/src/operators/fixture_test.hpp
+++ b/src/operators/fixture_test.hpp
@@ -38,7 +38,7 @@
 
     void get(std::string key, value_handler done) override
     {
-        auto const it = key == head_key ? next(head_reads) : fault::none;
+        auto const it = key == platform::configuration_head_key ? next(head_reads) : fault::none;
         if (it != fault::none)
         {
             done(error_of(it));
@@ -50,7 +50,7 @@
     void compare_and_swap(std::string key, platform::key_revision expected, std::string value,
                           revision_handler done) override
     {
-        bool const head = key == head_key;
+        bool const head = key == platform::configuration_head_key;
         if (head && before_head_write)
         {
             std::exchange(before_head_write, nullptr)();
--- a/src/platform/configuration_reader.cpp
+++ b/src/platform/configuration_reader.cpp
@@ -19,11 +19,6 @@
 
 } // namespace
 
-std::string configuration_segment_key(std::string const& hash)
-{
-    return "config/segment/" + hash;
-}
-
 class configuration_reader::impl : public std::enable_shared_from_this<impl>
 {
 public:
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -99,8 +99,8 @@
     if (row.attempts_made++ == 0)
     {
         ++counts.first_attempts;
-        service.retries.earn();
-        service.hedges.earn();
+        service.retries.on_first_attempt();
+        service.hedges.on_first_attempt();
     }
     if (settings.parts.hedging && kind.idempotent && kind.latency.established())
     {
@@ -242,7 +242,7 @@
     bool const allowed = kind.idempotent || !row.may_have_run;
     bool const in_time = now + kind.latency.median() < row.deadline;
     if (settings.parts.retries && allowed && in_time && row.attempts_made < settings.max_attempts &&
-        !service.queue.full() && service.retries.try_spend())
+        !service.queue.full() && service.retries.try_take())
     {
         ++counts.retries;
         row.avoid = attempt.upstream;
@@ -437,7 +437,7 @@
     {
         return false;
     }
-    if (!service.hedges.available() || (settings.parts.hedge_when_idle && !service.queue.empty()))
+    if (!service.hedges.has_attempt() || (settings.parts.hedge_when_idle && !service.queue.empty()))
     {
         return true;
     }
@@ -446,7 +446,7 @@
     {
         return true;
     }
-    service.hedges.try_spend();
+    service.hedges.try_take();
     request.hedged = true;
     ++counts.hedges;
     start(it.request, *found, true, now, actions);
--- a/src/routing/dispatcher_test.cpp
+++ b/src/routing/dispatcher_test.cpp
@@ -211,7 +211,7 @@
           row{attempt_result::cancelled, 0}, row{attempt_result::stopped, 0}})
     {
         routing::dispatcher_settings settings;
-        settings.retry_share = 1; // so that the budget allows the attempt
+        settings.retry_permille = 1000; // so that the budget allows the attempt
         auto d = make("a", "h-a", permit, settings);
         settle(d, two_zones(2, 4), {entry("a", "h-a")});
         ask(d, 1);
--- a/src/routing/parts_test.cpp
+++ b/src/routing/parts_test.cpp
@@ -2,7 +2,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "attempt_budget.hpp"
+#include "fuchsiaproxy/limits/extra_attempt_budget.hpp"
 #include "index_map.hpp"
 #include "latency_estimator.hpp"
 #include "ownership.hpp"
@@ -105,19 +105,19 @@
 // Guards against a budget that is larger than its share or saves more than its burst.
 TEST(routing_parts, budget_allows_its_share_only)
 {
-    attempt_budget budget(0.02, 2);
+    limits::extra_attempt_budget budget(20, 2, 0);
     int spent = 0;
     for (int n = 0; n < 1000; ++n)
     {
-        budget.earn();
-        spent += budget.try_spend() ? 1 : 0;
+        budget.on_first_attempt();
+        spent += budget.try_take() ? 1 : 0;
     }
     CHECK(spent >= 19 && spent <= 20);
     for (int n = 0; n < 1000; ++n)
     {
-        budget.earn();
+        budget.on_first_attempt();
     }
-    CHECK(budget.try_spend() && budget.try_spend() && !budget.try_spend());
+    CHECK(budget.try_take() && budget.try_take() && !budget.try_take());
 }
 
 // Guards against an upstream that looks slow because of a single straggler.
--- a/src/routing/tables.hpp
+++ b/src/routing/tables.hpp
@@ -5,9 +5,9 @@
 #include <cstdint>
 #include <vector>
 
-#include "attempt_budget.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/units.hpp"
+#include "fuchsiaproxy/limits/extra_attempt_budget.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "index_map.hpp"
 #include "latency_estimator.hpp"
@@ -126,10 +126,10 @@
 
 struct service_row
 {
-    service_row(base::service_id name, std::size_t queue_capacity, double retry_share,
-                double hedge_share, double burst)
-        : id(std::move(name)), queue(queue_capacity), retries(retry_share, burst, burst),
-          hedges(hedge_share, burst, 0)
+    service_row(base::service_id name, std::size_t queue_capacity, std::uint32_t retry_permille,
+                std::uint32_t hedge_permille, std::uint32_t burst)
+        : id(std::move(name)), queue(queue_capacity), retries(retry_permille, burst),
+          hedges(hedge_permille, burst, 0)
     {
     }
 
@@ -152,8 +152,8 @@
     std::vector<std::uint64_t> waiting_hedges;
     bool recheck_armed = false;
     /// Starts filled: an entry that has just started or has little traffic must be able to retry.
-    attempt_budget retries;
-    attempt_budget hedges;
+    limits::extra_attempt_budget retries;
+    limits::extra_attempt_budget hedges;
     std::uint32_t in_flight = 0;
     std::uint32_t long_in_flight = 0;
     std::uint32_t open_borrows = 0;
--- a/src/routing/topology.cpp
+++ b/src/routing/topology.cpp
@@ -113,8 +113,8 @@
         service_by_id.try_emplace(from.id, static_cast<std::uint32_t>(services.size()));
     if (is_new)
     {
-        services.emplace_back(from.id, settings.queue_capacity, settings.retry_share,
-                              settings.hedge_share, settings.budget_burst);
+        services.emplace_back(from.id, settings.queue_capacity, settings.retry_permille,
+                              settings.hedge_permille, settings.budget_burst);
     }
     auto& service = services[it->second];
     service.active = true;
