Use one type for a message that a decision wants sent

Cause: five packages had a struct of the same two fields, and the engine copied each into its own; two more of its actions stood in package fleet already.

Change: messages::send_message; the engine passes the actions of fleet on.

--- a/src/capacity_bench/fleet_world.cpp
+++ b/src/capacity_bench/fleet_world.cpp
@@ -146,7 +146,7 @@
 {
     for (auto const& action : actions)
     {
-        if (auto const* const message = std::get_if<fleet::send_to_entry>(&action))
+        if (auto const* const message = std::get_if<messages::send_message>(&action))
         {
             send(it, *message);
         }
@@ -159,7 +159,7 @@
     }
 }
 
-void fleet_world::send(member& it, fleet::send_to_entry const& action)
+void fleet_world::send(member& it, messages::send_message const& action)
 {
     auto const& self = it.node->self();
     messages::envelope const envelope{self.id, self.incarnation, ++sequence_, action.body};
--- a/src/capacity_bench/fleet_world.hpp
+++ b/src/capacity_bench/fleet_world.hpp
@@ -132,7 +132,7 @@
     template <class Call>
     void perform(member& it, call_kind kind, Call&& call);
     void apply(member& it, fleet::fleet_actions const& actions);
-    void send(member& it, fleet::send_to_entry const& action);
+    void send(member& it, messages::send_message const& action);
     void deliver();
 
     std::size_t zones_;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -126,9 +126,9 @@
                 forget_if_ended(found);
             }
         }
-        else if (auto* const message = std::get_if<requests::send_message>(&action))
+        else if (auto* const message = std::get_if<send_message>(&action))
         {
-            out.emplace_back(send_message{message->to, std::move(message->body)});
+            out.emplace_back(std::move(*message));
         }
     }
 }
@@ -160,9 +160,9 @@
         {
             give_up(*end, now, out);
         }
-        else if (auto* const message = std::get_if<routing::send_message>(&action))
+        else if (auto* const message = std::get_if<send_message>(&action))
         {
-            out.emplace_back(send_message{message->to, std::move(message->body)});
+            out.emplace_back(std::move(*message));
         }
     }
 }
--- a/src/engine/engine_fleet.cpp
+++ b/src/engine/engine_fleet.cpp
@@ -151,17 +151,17 @@
     bool changed = false;
     for (auto& action : actions)
     {
-        if (auto* const message = std::get_if<fleet::send_to_entry>(&action))
+        if (auto* const message = std::get_if<send_message>(&action))
         {
-            out.emplace_back(send_message{message->to, std::move(message->body)});
+            out.emplace_back(std::move(*message));
         }
-        else if (auto const* const address = std::get_if<fleet::use_address>(&action))
+        else if (auto* const address = std::get_if<use_address>(&action))
         {
-            out.emplace_back(use_address{address->id, address->peer_address});
+            out.emplace_back(std::move(*address));
         }
-        else if (auto const* const role = std::get_if<fleet::hub_role_changed>(&action))
+        else if (auto const* const role = std::get_if<hub_role_changed>(&action))
         {
-            out.emplace_back(hub_role_changed{role->is_hub});
+            out.emplace_back(*role);
         }
         else if (auto* const offer = std::get_if<fleet::offered_configuration>(&action))
         {
--- a/src/engine/share_keeper.cpp
+++ b/src/engine/share_keeper.cpp
@@ -181,7 +181,7 @@
     {
         if (action.to != self_.instance)
         {
-            out.emplace_back(send_message{action.to, action.body});
+            out.emplace_back(action);
         }
         else if (auto const* const granted = std::get_if<messages::share_grant>(&action.body))
         {
--- a/src/fleet/fleet_node.cpp
+++ b/src/fleet/fleet_node.cpp
@@ -87,7 +87,7 @@
             answer.leaving.push_back(leaving.first);
         }
     }
-    out.emplace_back(send_to_entry{from.from, std::move(answer)});
+    out.emplace_back(send_message{from.from, std::move(answer)});
     note_version(from.from, it.version, now, out);
 }
 
@@ -153,7 +153,7 @@
 {
     if (self_.version > it.version)
     {
-        out.emplace_back(send_to_entry{from.from, messages::config_push{self_.version, document_}});
+        out.emplace_back(send_message{from.from, messages::config_push{self_.version, document_}});
     }
 }
 
@@ -195,21 +195,21 @@
                      fleet_actions& out)
 {
     out.emplace_back(use_address{id, peer_address});
-    out.emplace_back(send_to_entry{id, messages::heartbeat{self_}});
-    out.emplace_back(send_to_entry{id, messages::pull{self_.version, {}, 0}});
+    out.emplace_back(send_message{id, messages::heartbeat{self_}});
+    out.emplace_back(send_message{id, messages::pull{self_.version, {}, 0}});
 }
 
 void fleet_node::introduce(messages::entry_info const& entry, fleet_actions& out)
 {
     out.emplace_back(use_address{entry.id, entry.peer_address});
-    out.emplace_back(send_to_entry{entry.id, messages::heartbeat{self_}});
+    out.emplace_back(send_message{entry.id, messages::heartbeat{self_}});
     // Asks for nothing but the receiver's own description. A whole view from each entry that is
     // mentioned would make the start of a fleet cost views in the square of its size.
     messages::pull own_description;
     own_description.version = self_.version;
     own_description.known_hub = entry.incarnation;
     own_description.known_revision = std::numeric_limits<std::uint64_t>::max();
-    out.emplace_back(send_to_entry{entry.id, own_description});
+    out.emplace_back(send_message{entry.id, own_description});
 }
 
 void fleet_node::on_adopted(base::config_version version, std::string document, base::time_point,
@@ -229,7 +229,7 @@
     {
         if (it.second.info.zone == self_.zone && it.second.info.version < version)
         {
-            out.emplace_back(send_to_entry{it.first, messages::config_push{version, document_}});
+            out.emplace_back(send_message{it.first, messages::config_push{version, document_}});
         }
     }
 }
@@ -248,7 +248,7 @@
     }
     for (auto const& hub : hubs_)
     {
-        out.emplace_back(send_to_entry{hub, messages::leaving{id}});
+        out.emplace_back(send_message{hub, messages::leaving{id}});
     }
 }
 
@@ -293,13 +293,13 @@
         {
             continue;
         }
-        out.emplace_back(send_to_entry{hub, messages::heartbeat{self_}});
-        out.emplace_back(send_to_entry{hub, pull_for(hub)});
+        out.emplace_back(send_message{hub, messages::heartbeat{self_}});
+        out.emplace_back(send_message{hub, pull_for(hub)});
     }
     bool const witness_is_hub = std::find(hubs_.begin(), hubs_.end(), self_.witness) != hubs_.end();
     if (!self_.witness.value().empty() && !witness_is_hub)
     {
-        out.emplace_back(send_to_entry{self_.witness, messages::heartbeat{self_}});
+        out.emplace_back(send_message{self_.witness, messages::heartbeat{self_}});
     }
 }
 
@@ -324,8 +324,8 @@
         }
         for (auto const& hub : hubs_of(zone.first))
         {
-            out.emplace_back(send_to_entry{hub, messages::heartbeat{self_}});
-            out.emplace_back(send_to_entry{hub, pull_for(hub)});
+            out.emplace_back(send_message{hub, messages::heartbeat{self_}});
+            out.emplace_back(send_message{hub, pull_for(hub)});
         }
     }
 }
@@ -372,7 +372,7 @@
     }
     fetching_ = version;
     fetch_again_at_ = now + settings_.heartbeat_period;
-    out.emplace_back(send_to_entry{from, messages::config_fetch{self_.version}});
+    out.emplace_back(send_message{from, messages::config_fetch{self_.version}});
 }
 
 bool fleet_node::note_leaving(base::upstream_id const& id, bool first_hand, base::time_point now,
@@ -429,7 +429,7 @@
     }
     for (auto const& it : receivers)
     {
-        out.emplace_back(send_to_entry{it, messages::leaving{id}});
+        out.emplace_back(send_message{it, messages::leaving{id}});
     }
 }
 
--- a/src/fleet/fleet_node_test.cpp
+++ b/src/fleet/fleet_node_test.cpp
@@ -124,7 +124,7 @@
     {
         for (auto const& action : actions)
         {
-            if (auto const* const send = std::get_if<fleet::send_to_entry>(&action))
+            if (auto const* const send = std::get_if<messages::send_message>(&action))
             {
                 ++messages_sent;
                 if (auto const* const digest = std::get_if<messages::digest>(&send->body))
@@ -356,7 +356,7 @@
         std::size_t sent = 0;
         for (auto const& action : out)
         {
-            sent += std::holds_alternative<fleet::send_to_entry>(action);
+            sent += std::holds_alternative<messages::send_message>(action);
         }
         CHECK(sent <= 5);
     }
--- a/src/include/fuchsiaproxy/engine/engine_action.hpp
+++ b/src/include/fuchsiaproxy/engine/engine_action.hpp
@@ -9,6 +9,7 @@
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/fleet/fleet_node.hpp"
 #include "fuchsiaproxy/limits/share_document.hpp"
 #include "fuchsiaproxy/messages/messages.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
@@ -49,25 +50,9 @@
     std::string ticket;
 };
 
-/// A message for another entry.
-struct send_message
-{
-    base::instance_id to;
-    messages::message body;
-};
-
-/// The peer address of an entry, to be used for later messages to it.
-struct use_address
-{
-    base::instance_id id;
-    std::string peer_address;
-};
-
-/// This entry became a hub of its availability zone, or ceased to be one.
-struct hub_role_changed
-{
-    bool is_hub = false;
-};
+using fleet::hub_role_changed;
+using fleet::use_address;
+using messages::send_message;
 
 /// A configuration document is to be parsed and given back with `engine::on_configuration`.
 struct parse_configuration
--- a/src/include/fuchsiaproxy/fleet/fleet_node.hpp
+++ b/src/include/fuchsiaproxy/fleet/fleet_node.hpp
@@ -37,12 +37,7 @@
     std::string peer_address;
 };
 
-/// A message for another entry.
-struct send_to_entry
-{
-    base::instance_id to;
-    messages::message body;
-};
+using messages::send_message;
 
 /// The peer address of an entry, to be used for later messages to it.
 struct use_address
@@ -76,7 +71,7 @@
     base::incarnation last;
 };
 
-using fleet_action = std::variant<send_to_entry, use_address, hub_role_changed,
+using fleet_action = std::variant<send_message, use_address, hub_role_changed,
                                   offered_configuration, view_changed, incarnation_ended>;
 using fleet_actions = std::vector<fleet_action>;
 
--- a/src/include/fuchsiaproxy/limits/share_document.hpp
+++ b/src/include/fuchsiaproxy/limits/share_document.hpp
@@ -65,14 +65,8 @@
 bool is_reduction_in_force(share_document const& document, base::cap_id const& cap,
                            std::uint64_t part, base::config_version version);
 
-/// A message of the hub for an entry of its zone.
-struct send_to_entry
-{
-    base::instance_id to;
-    messages::message body;
-};
-
-using hub_actions = std::vector<send_to_entry>;
+/// Messages of the hub for entries of its zone.
+using hub_actions = std::vector<messages::send_message>;
 
 /// The entry may use `amount` of the cap from now on.
 struct set_share
--- a/src/include/fuchsiaproxy/messages/messages.hpp
+++ b/src/include/fuchsiaproxy/messages/messages.hpp
@@ -226,6 +226,13 @@
                              done, resolve, resolution, borrow, lend, give_back, share_request,
                              share_grant, share_return, leaving, counters, take_over, handed_over>;
 
+/// Action of a decision package: a message for another entry.
+struct send_message
+{
+    base::instance_id to;
+    message body;
+};
+
 /// A message with its sender. `sequence` grows by one with each message of an incarnation.
 struct envelope
 {
--- a/src/include/fuchsiaproxy/requests/claim_action.hpp
+++ b/src/include/fuchsiaproxy/requests/claim_action.hpp
@@ -26,12 +26,7 @@
     std::uint32_t status = 0;
 };
 
-/// A message for another entry.
-struct send_message
-{
-    base::instance_id to;
-    messages::message body;
-};
+using messages::send_message;
 
 using claim_action = std::variant<run_request, refuse_request, send_message>;
 using claim_actions = std::vector<claim_action>;
--- a/src/include/fuchsiaproxy/routing/dispatcher.hpp
+++ b/src/include/fuchsiaproxy/routing/dispatcher.hpp
@@ -58,12 +58,7 @@
     base::error_kind kind = base::error_kind::overloaded;
 };
 
-/// A message for another entry.
-struct send_message
-{
-    base::instance_id to;
-    messages::message body;
-};
+using messages::send_message;
 
 using dispatch_action = std::variant<start_attempt, cancel_attempt, give_up, send_message>;
 using dispatch_actions = std::vector<dispatch_action>;
