Measure an entry's latency and cost on real processes

Cause: the added latency of an entry and its cost under load were known only from parts and from trials.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PREFIX ?= /usr/local
 DESTDIR ?=
 
-.PHONY: all build check install pages lint format demo prove bench capacity
+.PHONY: all build check install pages lint format demo prove bench capacity measure
 
 all: build
 
@@ -50,3 +50,7 @@
 capacity: $(BUILD)/build.ninja
 	cmake --build $(BUILD) -j $(JOBS) --target capacity_bench
 	$(BUILD)/src/capacity_bench --json $(BUILD)/capacity_bench.json
+
+# Added latency of an entry, and its cost idle and under load, on loopback.
+measure: build
+	scripts/measure --build $(BUILD) --deployment $(DEPLOYMENT)
--- a/scripts/loopback/deployment.py
+++ b/scripts/loopback/deployment.py
@@ -86,7 +86,8 @@
 class Deployment:
     """One of the folders below examples/, running on loopback."""
 
-    def __init__(self, name, build, folder, seed, store_behind_relay=False):
+    def __init__(self, name, build, folder, seed, store_behind_relay=False,
+                 service_time_ms=SERVICE_TIME_MS):
         self.name = name
         self.declarations = os.path.join(REPOSITORY, "examples", name)
         self.bin = os.path.join(build, "src")
@@ -102,6 +103,7 @@
         self.store_for_entries = ""
         self.relay_control = ""
         self.store_behind_relay = store_behind_relay
+        self.service_time_ms = service_time_ms
         self.list_lag_s = 0.0
         self.upstreams = ""
         self.upstream_specs = []
@@ -137,7 +139,7 @@
         for place in self.places:
             for it in place["upstreams"]:
                 specs.append({"id": it["id"], "listen": f"{it['address']}:{it['port']}",
-                              "settings": {"slots": it["slots"], "service_time_ms": SERVICE_TIME_MS,
+                              "settings": {"slots": it["slots"], "service_time_ms": self.service_time_ms,
                                            "max_connections": it["max_connections"]}})
                 self.register(it["id"], "upstream", f"{it['address']}:{it['port']}")
         path = os.path.join(self.folder, "upstreams.json")
