Name the end of an unanswered run once; share the platform's deadlines

Cause: the read of the whole change found the choice between unknown and not run in three places of the engine, and one function twice in package runtime.

Ruled out: merging the read-modify-write paths of configuration_service, which differ in what they check before the write.

Change: unanswered_result in engine.cpp; runtime/platform_timeouts.hpp.

Conclusion: behaviour is unchanged.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -32,6 +32,12 @@
     return false;
 }
 
+// Returns the end of a run that no upstream answered.
+requests::run_result unanswered_result(bool unknown)
+{
+    return unknown ? requests::run_result::unknown : requests::run_result::not_run;
+}
+
 } // namespace
 
 engine::engine(engine_settings const& settings, messages::entry_info const& self,
@@ -270,9 +276,7 @@
         bool const abandoned = request.caller_gone && request.running && request.open_attempts == 0;
         if (abandoned)
         {
-            end_run(ended.request,
-                    request.unknown ? requests::run_result::unknown : requests::run_result::not_run,
-                    0, now, out);
+            end_run(ended.request, unanswered_result(request.unknown), 0, now, out);
         }
         forget_if_ended(requests_.find(ended.request));
     }
@@ -290,8 +294,7 @@
     if (!state.idempotent)
     {
         bool const unknown = state.unknown;
-        end_run(it.request, unknown ? requests::run_result::unknown : requests::run_result::not_run,
-                0, now, out);
+        end_run(it.request, unanswered_result(unknown), 0, now, out);
         bool const says_not_run = base::answer_for(kind).outcome == base::request_outcome::not_run;
         if (unknown)
         {
@@ -384,10 +387,7 @@
         auto const state = requests_.find(request);
         if (state != requests_.end() && state->second.open_attempts == 0)
         {
-            end_run(request,
-                    state->second.unknown ? requests::run_result::unknown
-                                          : requests::run_result::not_run,
-                    0, now, out);
+            end_run(request, unanswered_result(state->second.unknown), 0, now, out);
         }
     }
     forget_if_ended(requests_.find(request));
--- a/src/runtime/operators_loop.cpp
+++ b/src/runtime/operators_loop.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "platform_timeouts.hpp"
+
 namespace fuchsiaproxy::runtime
 {
 namespace
@@ -16,13 +18,6 @@
     return made;
 }
 
-platform::http_timeouts timeouts_of(settings::platform_settings const& it)
-{
-    platform::http_timeouts made;
-    made.call = it.call_timeout;
-    return made;
-}
-
 base::error ring_full()
 {
     return base::make_error(base::error_kind::overloaded, "the entry is too busy to answer");
--- a/src/runtime/platform_loop.cpp
+++ b/src/runtime/platform_loop.cpp
@@ -5,6 +5,8 @@
 
 #include "fuchsiaproxy/model/json.hpp"
 
+#include "platform_timeouts.hpp"
+
 namespace fuchsiaproxy::runtime
 {
 namespace
@@ -16,13 +18,6 @@
 // Pause before an event that a full ring refused is offered again.
 constexpr base::duration report_pause = std::chrono::milliseconds(50);
 
-platform::http_timeouts timeouts_of(settings::platform_settings const& it)
-{
-    platform::http_timeouts made;
-    made.call = it.call_timeout;
-    return made;
-}
-
 platform::http_endpoint endpoint_of(model::endpoint const& it)
 {
     return {it.address, it.port};
