--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -40,6 +40,7 @@
     error_answer{k::store_answer_unknown, "store_answer_unknown", 504, o::may_have_run, 5},
     error_answer{k::value_too_large, "value_too_large", 413, o::not_run, 3},
     error_answer{k::lease_lost, "lease_lost", 409, o::not_run, 4},
+    error_answer{k::history_lost, "history_lost", 410, o::not_run, 4},
     error_answer{k::stale_version, "stale_version", 409, o::not_run, 4},
     error_answer{k::invalid_configuration, "invalid_configuration", 422, o::not_run, 3},
     error_answer{k::invalid_settings, "invalid_settings", 422, o::not_run, 3},
--- a/src/callers/connection.cpp
+++ b/src/callers/connection.cpp
@@ -298,7 +298,7 @@
                                                           : base::error_kind::bad_request);
         return;
     }
-    auto parsed = parse_request(head);
+    auto parsed = parse_request(head, core_->settings.format);
     if (!parsed)
     {
         refuse(parsed.error().kind);
--- a/src/callers/request_parser.hpp
+++ b/src/callers/request_parser.hpp
@@ -3,15 +3,17 @@
 
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/callers/exchange.hpp"
+#include "fuchsiaproxy/callers/server.hpp"
 #include "fuchsiaproxy/http/message_reader.hpp"
 
 namespace fuchsiaproxy::callers
 {
 
-/// Builds the typed head of a request from `head`. Sets neither the id, nor the caller's address,
-/// nor the time. Fails with `bad_request` when the target, `Service`, `Request-Id`, `Deadline-Ms`
-/// or `Expect` is malformed or ambiguous. Thread safe.
-base::result<request_head> parse_request(http::message_head const& head);
+/// Builds the typed head of a request from `head`, which has the given format. Sets neither the id,
+/// nor the caller's address, nor the time. Fails with `bad_request` when the target, `Service`,
+/// `Request-Id`, the deadline or `Expect` is malformed or ambiguous. Thread safe.
+base::result<request_head> parse_request(http::message_head const& head,
+                                         request_format const& format);
 
 } // namespace fuchsiaproxy::callers
 
--- a/src/callers/server.cpp
+++ b/src/callers/server.cpp
@@ -69,6 +69,18 @@
         return acceptor_.local_endpoint().port();
     }
 
+    void set_limits(caller_limits const& limits)
+    {
+        core_->settings.header_limit = limits.header_limit;
+        core_->settings.keep_alive_limit = limits.keep_alive_limit;
+        core_->settings.max_body_bytes = limits.max_body_bytes;
+    }
+
+    void close_after_answers()
+    {
+        core_->draining = true;
+    }
+
     void drain(std::function<void()> done)
     {
         core_->draining = true;
@@ -237,6 +249,16 @@
     return impl_->listen();
 }
 
+void server::set_limits(caller_limits const& limits)
+{
+    impl_->set_limits(limits);
+}
+
+void server::close_after_answers()
+{
+    impl_->close_after_answers();
+}
+
 void server::drain(std::function<void()> done)
 {
     impl_->drain(std::move(done));
--- a/src/capacity_bench/shares_section.cpp
+++ b/src/capacity_bench/shares_section.cpp
@@ -10,7 +10,7 @@
 #include "fuchsiaproxy/limits/cap_set.hpp"
 #include "fuchsiaproxy/limits/share_holder.hpp"
 #include "fuchsiaproxy/limits/share_ledger.hpp"
-#include "fuchsiaproxy/platform/share_store.hpp"
+#include "fuchsiaproxy/metadata/share_store.hpp"
 #include "layout.hpp"
 #include "measure.hpp"
 #include "sections.hpp"
@@ -106,7 +106,7 @@
 
     std::size_t document_bytes() const
     {
-        return platform::to_json(document_).size();
+        return metadata::to_json(document_).size();
     }
 
     double prepare_us() const
--- a/src/fuchsiastandin/commands.cpp
+++ b/src/fuchsiastandin/commands.cpp
@@ -26,7 +26,7 @@
 struct upstream_spec
 {
     std::string id;
-    platform::http_endpoint at;
+    metadata::http_endpoint at;
     std::string settings;
 };
 
@@ -41,7 +41,7 @@
     for (auto const& it : json::parse(file))
     {
         out.push_back({it.at("id").get<std::string>(),
-                       platform::parse_endpoint(it.at("listen").get<std::string>()),
+                       metadata::parse_endpoint(it.at("listen").get<std::string>()),
                        it.value("settings", json::object()).dump()});
     }
     return out;
@@ -73,7 +73,7 @@
     caller_settings out;
     for (auto const& it : args["entry"].as<std::vector<std::string>>())
     {
-        out.entries.push_back(platform::parse_endpoint(it));
+        out.entries.push_back(metadata::parse_endpoint(it));
         if (out.entries.back().port == 0)
         {
             throw std::invalid_argument("--entry is not of the form ip:port: \"" + it + "\"");
--- a/src/fuchsiastandin/process.cpp
+++ b/src/fuchsiastandin/process.cpp
@@ -22,10 +22,10 @@
     return args;
 }
 
-platform::http_endpoint endpoint_option(cxxopts::ParseResult const& args, std::string const& name)
+metadata::http_endpoint endpoint_option(cxxopts::ParseResult const& args, std::string const& name)
 {
     auto const text = args[name].as<std::string>();
-    auto out = platform::parse_endpoint(text);
+    auto out = metadata::parse_endpoint(text);
     if (out.address.empty())
     {
         throw std::invalid_argument("--" + name + " is not of the form ip:port: \"" + text + "\"");
@@ -38,7 +38,7 @@
     return std::chrono::milliseconds(args[name].as<std::int64_t>());
 }
 
-std::string to_string(platform::http_endpoint const& it)
+std::string to_string(metadata::http_endpoint const& it)
 {
     return it.address + ":" + std::to_string(it.port);
 }
--- a/src/fuchsiastandin/process.hpp
+++ b/src/fuchsiastandin/process.hpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fuchsiaproxy/base/time.hpp"
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -18,13 +18,13 @@
 std::optional<cxxopts::ParseResult> parse(cxxopts::Options& options, int argc, char** argv);
 
 /// Reads an option of the form "ip:port". Throws `std::invalid_argument` for another form.
-platform::http_endpoint endpoint_option(cxxopts::ParseResult const& args, std::string const& name);
+metadata::http_endpoint endpoint_option(cxxopts::ParseResult const& args, std::string const& name);
 
 /// Reads an option in milliseconds.
 base::duration milliseconds_option(cxxopts::ParseResult const& args, std::string const& name);
 
 /// Returns "ip:port".
-std::string to_string(platform::http_endpoint const& it);
+std::string to_string(metadata::http_endpoint const& it);
 
 /// Prints `started` as one line, so that a script learns the ports, and runs until SIGINT or
 /// SIGTERM.
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,250 @@
+#include "fuchsiaproxy/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <variant>
+
+#include "cookie.hpp"
+
+namespace fuchsiaproxy::gateway
+{
+namespace
+{
+
+callers::server_settings with_format(callers::server_settings it, field_names const& names)
+{
+    it.format.deadline_field = names.deadline;
+    it.format.look_ups = false;
+    return it;
+}
+
+std::string seconds_text(base::duration it)
+{
+    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+    auto const fraction = std::to_string(1000 + ms % 1000).substr(1);
+    return std::to_string(ms / 1000) + "." + fraction;
+}
+
+std::string ms_text(base::duration it)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
+}
+
+} // namespace
+
+gateway::gateway(boost::asio::io_context& io, base::timer_service& timers,
+                 gateway_settings settings, steering::director_identity self, std::uint64_t seed,
+                 log_function log)
+    : timers_(timers), settings_(std::move(settings)), buffers_(settings_.buffers),
+      director_(settings_.director, std::move(self), seed),
+      client_(io, timers, buffers_, settings_.client),
+      relay_(io, buffers_, client_, *this, settings_.held_bytes),
+      server_(io, timers, buffers_, relay_, with_format(settings_.server, settings_.fields)),
+      log_(std::move(log))
+{
+}
+
+gateway::~gateway() = default;
+
+base::result<std::uint16_t> gateway::listen()
+{
+    return server_.listen();
+}
+
+void gateway::handle(steering::control_event const& it)
+{
+    steering::director_actions out;
+    director_.on_control(it, timers_.now(), out);
+    perform(out);
+    schedule_tick();
+}
+
+bool gateway::ready() const
+{
+    return !draining_ && director_.ready();
+}
+
+std::vector<std::string> gateway::look_up(base::availability_zone_id const& zone) const
+{
+    return director_.look_up(zone);
+}
+
+steering::director const& gateway::decisions() const
+{
+    return director_;
+}
+
+callers::server_counters const& gateway::server_counts() const
+{
+    return server_.counters();
+}
+
+upstreams::client_counters const& gateway::client_counts() const
+{
+    return client_.counters();
+}
+
+void gateway::request_arrived(callers::request_head const& head)
+{
+    steering::director_actions out;
+    if (refusing_)
+    {
+        out.push_back(steering::answer_error{head.id, base::error_kind::draining,
+                                             settings_.director.retry_after});
+        perform(out);
+        return;
+    }
+    steering::arrived_request it;
+    it.id = head.id;
+    it.host = head.fields.find("Host").value_or(std::string_view());
+    it.target = head.target;
+    it.affinity_key = cookie_value(head.fields, settings_.fields.affinity_cookie);
+    if (head.time_left)
+    {
+        it.deadline = head.arrived + *head.time_left;
+    }
+    director_.on_request(it, timers_.now(), out);
+    perform(out);
+    schedule_tick();
+}
+
+bool gateway::attempt_head(base::attempt_id attempt, unsigned status)
+{
+    steering::director_actions out;
+    auto const passed_on = director_.on_attempt_head(attempt, status, timers_.now(), out);
+    perform(out);
+    return passed_on;
+}
+
+void gateway::attempt_finished(base::attempt_id attempt, upstreams::attempt_report const& report)
+{
+    steering::attempt_end end;
+    end.result = report.result;
+    end.status = report.status;
+    end.sent = report.bytes_sent > 0;
+    end.connect_time = report.connect_time;
+    end.load = report.load;
+    end.wrong_upstream = report.result == base::attempt_result::shed &&
+                         report.status == settings_.fields.wrong_upstream_status;
+    steering::director_actions out;
+    director_.on_attempt_finished(attempt, end, timers_.now(), out);
+    perform(out);
+    schedule_tick();
+}
+
+void gateway::caller_gone(base::local_request_id request)
+{
+    steering::director_actions out;
+    director_.on_caller_gone(request, timers_.now(), out);
+    perform(out);
+}
+
+void gateway::perform(steering::director_actions& actions)
+{
+    for (auto& action : actions)
+    {
+        std::visit([this](auto& it) { perform_one(it); }, action);
+    }
+}
+
+void gateway::perform_one(steering::start_attempt& it)
+{
+    relay::attempt_order order;
+    order.request = it.request;
+    order.attempt = it.attempt;
+    order.at = it.at;
+    order.deadline = it.deadline;
+    order.idempotent = it.idempotent;
+    order.added.add(settings_.fields.expected_upstream, it.upstream.value());
+    relay_.start_attempt(order);
+}
+
+void gateway::perform_one(steering::cancel_attempt& it)
+{
+    relay_.cancel_attempt(it.attempt);
+}
+
+void gateway::perform_one(steering::answer_error& it)
+{
+    http::fields fields;
+    if (it.retry_after > base::duration{})
+    {
+        fields.add("Retry-After", seconds_text(it.retry_after));
+    }
+    relay_.answer_error(it.request, it.kind, fields);
+}
+
+void gateway::perform_one(steering::upstream_left& it)
+{
+    client_.forget(it.at);
+}
+
+void gateway::perform_one(steering::limits_changed& it)
+{
+    callers::caller_limits limits;
+    limits.header_limit = it.limits.header_timeout;
+    limits.keep_alive_limit = it.limits.idle_timeout;
+    limits.max_body_bytes = it.limits.max_body_bytes;
+    server_.set_limits(limits);
+}
+
+void gateway::perform_one(steering::attempt_explained& it)
+{
+    log_("attempt", {{"request", std::to_string(it.request.value())},
+                     {"route", it.route},
+                     {"upstream", it.upstream.value()},
+                     {"configuration", std::to_string(it.version.value())},
+                     {"object", std::to_string(it.object)},
+                     {"rank", std::to_string(it.rank)},
+                     {"expected_ms", ms_text(it.expected)},
+                     {"took_ms", ms_text(it.took)},
+                     {"in_flight", std::to_string(it.in_flight)},
+                     {"foreign", std::to_string(it.foreign)},
+                     {"report_age_ms", it.report_age ? ms_text(*it.report_age) : "none"},
+                     {"result", std::string(base::name_of(it.result))},
+                     {"status", std::to_string(it.status)}});
+}
+
+void gateway::schedule_tick()
+{
+    auto const next = director_.next_wakeup();
+    if (next == base::time_point::max() || (wakeup_ && wakeup_at_ <= next))
+    {
+        return;
+    }
+    wakeup_at_ = next;
+    wakeup_ = timers_.at(next,
+                         [this](base::time_point now)
+                         {
+                             wakeup_at_ = base::time_point::max();
+                             wakeup_.reset();
+                             steering::director_actions out;
+                             director_.tick(now, out);
+                             perform(out);
+                             schedule_tick();
+                         });
+}
+
+void gateway::drain(std::function<void(std::size_t)> done)
+{
+    drained_ = std::move(done);
+    draining_ = true;
+    server_.close_after_answers();
+    auto const now = timers_.now();
+    drain_steps_.push_back(
+        timers_.at(now + settings_.refuse_after, [this](base::time_point) { refusing_ = true; }));
+    drain_steps_.push_back(timers_.at(now + settings_.close_after, [this](base::time_point)
+                                      { server_.drain([this] { finish_drain(0); }); }));
+    drain_steps_.push_back(timers_.at(now + settings_.end_after, [this](base::time_point)
+                                      { finish_drain(server_.exchanges()); }));
+}
+
+void gateway::finish_drain(std::size_t left)
+{
+    if (auto const done = std::exchange(drained_, nullptr))
+    {
+        done(left);
+    }
+}
+
+} // namespace fuchsiaproxy::gateway
--- a/src/include/fuchsiaproxy/base/attempt_result.hpp
+++ b/src/include/fuchsiaproxy/base/attempt_result.hpp
@@ -1,6 +1,8 @@
 #ifndef FUCHSIAPROXY_BASE_ATTEMPT_RESULT_HPP
 #define FUCHSIAPROXY_BASE_ATTEMPT_RESULT_HPP
 
+#include <string_view>
+
 namespace fuchsiaproxy::base
 {
 
@@ -25,6 +27,33 @@
     stopped
 };
 
+/// Returns the stable name of `it`, as used in logs. Thread safe.
+constexpr std::string_view name_of(attempt_result it) noexcept
+{
+    switch (it)
+    {
+    case attempt_result::completed:
+        return "completed";
+    case attempt_result::shed:
+        return "refused";
+    case attempt_result::connect_failed:
+        return "connect_failed";
+    case attempt_result::not_sent:
+        return "not_sent";
+    case attempt_result::cancelled_before_start:
+        return "cancelled_before_start";
+    case attempt_result::broken:
+        return "broken";
+    case attempt_result::timed_out:
+        return "timed_out";
+    case attempt_result::cancelled:
+        return "cancelled";
+    case attempt_result::stopped:
+        break;
+    }
+    return "stopped";
+}
+
 } // namespace fuchsiaproxy::base
 
 #endif
--- a/src/include/fuchsiaproxy/base/error.hpp
+++ b/src/include/fuchsiaproxy/base/error.hpp
@@ -40,6 +40,7 @@
     store_answer_unknown,
     value_too_large,
     lease_lost,
+    history_lost,
     stale_version,
     invalid_configuration,
     invalid_settings,
--- a/src/include/fuchsiaproxy/callers/server.hpp
+++ b/src/include/fuchsiaproxy/callers/server.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 
@@ -19,6 +20,15 @@
 namespace fuchsiaproxy::callers
 {
 
+/// What callers of one kind put into their requests.
+struct request_format
+{
+    /// Field with the milliseconds that are left.
+    std::string deadline_field = "Deadline-Ms";
+    /// Whether `GET /lookup` is a look-up and not a request to forward.
+    bool look_ups = true;
+};
+
 /// Limits of a `server`.
 struct server_settings
 {
@@ -37,6 +47,15 @@
     /// socket looks the same, and the work for it would be wasted. If false, a request that was
     /// complete before is still answered.
     bool half_close_is_gone = true;
+    request_format format;
+};
+
+/// Limits that may change while a `server` runs.
+struct caller_limits
+{
+    base::duration header_limit = std::chrono::seconds(5);
+    base::duration keep_alive_limit = std::chrono::seconds(60);
+    std::uint64_t max_body_bytes = 64UL * 1024 * 1024;
 };
 
 /// Counts of a `server` since its start.
@@ -81,6 +100,12 @@
     /// an IP address or cannot be bound. Precondition: called once.
     base::result<std::uint16_t> listen();
 
+    /// Replaces the limits for what is read from now on.
+    void set_limits(caller_limits const& limits);
+
+    /// Puts `Connection: close` on the answers from now on; goes on accepting.
+    void close_after_answers();
+
     /// Drains: stops accepting, closes idle connections, puts `Connection: close` on the answers
     /// and calls `done` once the last exchange has ended, never before it returns. Precondition:
     /// called once.
--- /dev/null
+++ b/src/include/fuchsiaproxy/gateway/entry_process.hpp
@@ -0,0 +1,70 @@
+#ifndef FUCHSIAPROXY_GATEWAY_ENTRY_PROCESS_HPP
+#define FUCHSIAPROXY_GATEWAY_ENTRY_PROCESS_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/timer_service.hpp"
+#include "fuchsiaproxy/gateway/gateway.hpp"
+#include "fuchsiaproxy/gateway/page_server.hpp"
+#include "fuchsiaproxy/steering/records.hpp"
+
+namespace fuchsiaproxy::gateway
+{
+
+/// Source of configurations, discovery and membership.
+///
+/// Thread safety: all functions on the control thread.
+class control_plane
+{
+public:
+    virtual ~control_plane() = default;
+
+    /// Starts to follow the control plane and to publish this entry. Precondition: called once.
+    virtual void start() = 0;
+
+    /// Stops to publish this entry, so that callers are no longer sent here.
+    virtual void withdraw() = 0;
+};
+
+/// What a control plane gets to work with.
+struct control_context
+{
+    boost::asio::io_context& io;
+    base::timer_service& timers;
+    /// Hands an event to the decisions; may be called on the control thread only.
+    std::function<void(steering::control_event)> emit;
+    log_function log;
+    std::uint64_t seed = 0;
+};
+
+/// A page that is answered from the gateway's state.
+using gateway_page = std::function<page(gateway const&, std::string_view target)>;
+
+/// Settings of an entry's process.
+struct entry_settings
+{
+    gateway_settings traffic;
+    steering::director_identity self;
+    std::optional<model::endpoint> look_ups;
+    std::optional<model::endpoint> readiness;
+    gateway_page look_up_page;
+    gateway_page readiness_page;
+    std::function<std::unique_ptr<control_plane>(control_context)> make_control;
+    std::string log_level = "info";
+};
+
+/// Runs an entry until SIGTERM or SIGINT: a thread for the traffic and one for the control plane,
+/// joined by a bounded ring. Fails with `invalid_settings` if an address cannot be listened on.
+base::result<void> run_entry(entry_settings settings);
+
+} // namespace fuchsiaproxy::gateway
+
+#endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -0,0 +1,133 @@
+#ifndef FUCHSIAPROXY_GATEWAY_GATEWAY_HPP
+#define FUCHSIAPROXY_GATEWAY_GATEWAY_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/timer_service.hpp"
+#include "fuchsiaproxy/callers/server.hpp"
+#include "fuchsiaproxy/http/buffer_pool.hpp"
+#include "fuchsiaproxy/relay/relay.hpp"
+#include "fuchsiaproxy/steering/director.hpp"
+#include "fuchsiaproxy/upstreams/client.hpp"
+
+namespace fuchsiaproxy::gateway
+{
+
+/// What the header fields of callers and upstreams are called.
+struct field_names
+{
+    /// Milliseconds that are left, in requests.
+    std::string deadline = "Deadline-Ms";
+    /// Cookie that names the object of a request.
+    std::string affinity_cookie = "Affinity-Key";
+    /// Names the upstream that is meant, so that another one at its address refuses.
+    std::string expected_upstream = "Expected-Upstream";
+    /// Status with which an upstream refuses a request that is meant for another one.
+    unsigned wrong_upstream_status = 421;
+    /// Carries the id of a request; used for logs only.
+    std::string request_id = "Request-Id";
+};
+
+/// Settings of a `gateway`.
+struct gateway_settings
+{
+    callers::server_settings server;
+    upstreams::client_settings client;
+    steering::director_settings director;
+    field_names fields;
+    std::size_t buffers = 4096;
+    /// Bytes of an answer that are held back until it is complete.
+    std::size_t held_bytes = 64UL * 1024;
+    /// After the order to stop: when new requests are refused, when connections are closed, and
+    /// when the process ends whatever is left.
+    base::duration refuse_after = std::chrono::milliseconds(2500);
+    base::duration close_after = std::chrono::milliseconds(4500);
+    base::duration end_after = std::chrono::milliseconds(5600);
+};
+
+/// Name and value of one field of a log line.
+using log_field = std::pair<std::string, std::string>;
+/// Writes a line about a decision or a change of state.
+using log_function = std::function<void(std::string event, std::vector<log_field> fields)>;
+
+/// Serves callers: relays their requests to the upstreams that a `steering::director` chooses.
+///
+/// Thread safety: none; used on the thread that runs the io_context.
+class gateway final : public relay::relay_events
+{
+public:
+    /// `io` and `timers` must outlive the gateway.
+    gateway(boost::asio::io_context& io, base::timer_service& timers, gateway_settings settings,
+            steering::director_identity self, std::uint64_t seed, log_function log);
+    ~gateway() override;
+
+    gateway(gateway const&) = delete;
+    gateway& operator=(gateway const&) = delete;
+
+    /// Starts to listen for callers. Precondition: called once.
+    base::result<std::uint16_t> listen();
+
+    /// Takes an event of the control plane.
+    void handle(steering::control_event const& it);
+
+    /// Stops gracefully and calls `done` with the number of requests that are left. Precondition:
+    /// called once.
+    void drain(std::function<void(std::size_t left)> done);
+
+    /// Returns whether callers should be sent here.
+    bool ready() const;
+
+    /// Returns the addresses of the entries for a caller in `zone`.
+    std::vector<std::string> look_up(base::availability_zone_id const& zone) const;
+
+    steering::director const& decisions() const;
+    callers::server_counters const& server_counts() const;
+    upstreams::client_counters const& client_counts() const;
+
+    void request_arrived(callers::request_head const& head) override;
+    bool attempt_head(base::attempt_id attempt, unsigned status) override;
+    void attempt_finished(base::attempt_id attempt,
+                          upstreams::attempt_report const& report) override;
+    void caller_gone(base::local_request_id request) override;
+
+private:
+    void perform(steering::director_actions& actions);
+    void perform_one(steering::start_attempt& it);
+    void perform_one(steering::cancel_attempt& it);
+    void perform_one(steering::answer_error& it);
+    void perform_one(steering::upstream_left& it);
+    void perform_one(steering::limits_changed& it);
+    void perform_one(steering::attempt_explained& it);
+    void schedule_tick();
+    void finish_drain(std::size_t left);
+
+    base::timer_service& timers_;
+    gateway_settings settings_;
+    http::buffer_pool buffers_;
+    steering::director director_;
+    upstreams::client client_;
+    relay::relay relay_;
+    callers::server server_;
+    log_function log_;
+    std::unique_ptr<base::timer_subscription> wakeup_;
+    base::time_point wakeup_at_ = base::time_point::max();
+    std::vector<std::unique_ptr<base::timer_subscription>> drain_steps_;
+    std::function<void(std::size_t)> drained_;
+    bool draining_ = false;
+    bool refusing_ = false;
+};
+
+} // namespace fuchsiaproxy::gateway
+
+#endif
--- a/src/include/fuchsiaproxy/platform/configuration_keys.hpp
+++ b/src/include/fuchsiaproxy/metadata/configuration_keys.hpp
@@ -1,9 +1,9 @@
-#ifndef FUCHSIAPROXY_PLATFORM_CONFIGURATION_KEYS_HPP
-#define FUCHSIAPROXY_PLATFORM_CONFIGURATION_KEYS_HPP
+#ifndef FUCHSIAPROXY_METADATA_CONFIGURATION_KEYS_HPP
+#define FUCHSIAPROXY_METADATA_CONFIGURATION_KEYS_HPP
 
 #include <string>
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// Key of the manifest of the configuration in force.
@@ -15,6 +15,6 @@
     return "config/segment/" + hash;
 }
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- a/src/include/fuchsiaproxy/platform/configuration_reader.hpp
+++ b/src/include/fuchsiaproxy/metadata/configuration_reader.hpp
@@ -1,5 +1,5 @@
-#ifndef FUCHSIAPROXY_PLATFORM_CONFIGURATION_READER_HPP
-#define FUCHSIAPROXY_PLATFORM_CONFIGURATION_READER_HPP
+#ifndef FUCHSIAPROXY_METADATA_CONFIGURATION_READER_HPP
+#define FUCHSIAPROXY_METADATA_CONFIGURATION_READER_HPP
 
 #include <cstddef>
 #include <cstdint>
@@ -9,12 +9,12 @@
 
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/base/timer_service.hpp"
+#include "fuchsiaproxy/metadata/configuration_keys.hpp"
+#include "fuchsiaproxy/metadata/store.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "fuchsiaproxy/model/manifest.hpp"
-#include "fuchsiaproxy/platform/configuration_keys.hpp"
-#include "fuchsiaproxy/platform/store.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// An accepted configuration and its JSON text.
@@ -67,6 +67,6 @@
     std::shared_ptr<impl> impl_;
 };
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- a/src/include/fuchsiaproxy/platform/http_client.hpp
+++ b/src/include/fuchsiaproxy/metadata/http_client.hpp
@@ -1,5 +1,5 @@
-#ifndef FUCHSIAPROXY_PLATFORM_HTTP_CLIENT_HPP
-#define FUCHSIAPROXY_PLATFORM_HTTP_CLIENT_HPP
+#ifndef FUCHSIAPROXY_METADATA_HTTP_CLIENT_HPP
+#define FUCHSIAPROXY_METADATA_HTTP_CLIENT_HPP
 
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +12,7 @@
 
 #include "fuchsiaproxy/base/time.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// IP address and port of an HTTP server.
@@ -118,6 +118,6 @@
     std::shared_ptr<impl> impl_;
 };
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- a/src/include/fuchsiaproxy/platform/http_clients.hpp
+++ b/src/include/fuchsiaproxy/metadata/http_clients.hpp
@@ -1,5 +1,5 @@
-#ifndef FUCHSIAPROXY_PLATFORM_HTTP_CLIENTS_HPP
-#define FUCHSIAPROXY_PLATFORM_HTTP_CLIENTS_HPP
+#ifndef FUCHSIAPROXY_METADATA_HTTP_CLIENTS_HPP
+#define FUCHSIAPROXY_METADATA_HTTP_CLIENTS_HPP
 
 #include <array>
 #include <atomic>
@@ -10,11 +10,11 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "fuchsiaproxy/platform/http_client.hpp"
-#include "fuchsiaproxy/platform/instance_list.hpp"
-#include "fuchsiaproxy/platform/store.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
+#include "fuchsiaproxy/metadata/instance_list.hpp"
+#include "fuchsiaproxy/metadata/store.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// Deadlines of the calls to the platform.
@@ -78,6 +78,6 @@
                         http_timeouts timeouts = {},
                         std::shared_ptr<platform_counters> const& counters = nullptr);
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- a/src/include/fuchsiaproxy/platform/instance_list.hpp
+++ b/src/include/fuchsiaproxy/metadata/instance_list.hpp
@@ -1,5 +1,5 @@
-#ifndef FUCHSIAPROXY_PLATFORM_INSTANCE_LIST_HPP
-#define FUCHSIAPROXY_PLATFORM_INSTANCE_LIST_HPP
+#ifndef FUCHSIAPROXY_METADATA_INSTANCE_LIST_HPP
+#define FUCHSIAPROXY_METADATA_INSTANCE_LIST_HPP
 
 #include <functional>
 #include <string>
@@ -7,7 +7,7 @@
 
 #include "fuchsiaproxy/base/error.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// State of an instance as the platform reports it. The report lags.
@@ -42,6 +42,6 @@
     virtual void read(handler done) = 0;
 };
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- a/src/include/fuchsiaproxy/platform/share_store.hpp
+++ b/src/include/fuchsiaproxy/metadata/share_store.hpp
@@ -1,5 +1,5 @@
-#ifndef FUCHSIAPROXY_PLATFORM_SHARE_STORE_HPP
-#define FUCHSIAPROXY_PLATFORM_SHARE_STORE_HPP
+#ifndef FUCHSIAPROXY_METADATA_SHARE_STORE_HPP
+#define FUCHSIAPROXY_METADATA_SHARE_STORE_HPP
 
 #include <functional>
 #include <memory>
@@ -9,9 +9,9 @@
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/limits/share_document.hpp"
-#include "fuchsiaproxy/platform/store.hpp"
+#include "fuchsiaproxy/metadata/store.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// Returns the key of the share reservations of `zone`. Thread safe.
@@ -48,6 +48,6 @@
     key_revision revision_;
 };
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- a/src/include/fuchsiaproxy/platform/store.hpp
+++ b/src/include/fuchsiaproxy/metadata/store.hpp
@@ -1,5 +1,5 @@
-#ifndef FUCHSIAPROXY_PLATFORM_STORE_HPP
-#define FUCHSIAPROXY_PLATFORM_STORE_HPP
+#ifndef FUCHSIAPROXY_METADATA_STORE_HPP
+#define FUCHSIAPROXY_METADATA_STORE_HPP
 
 #include <cstdint>
 #include <functional>
@@ -10,7 +10,7 @@
 #include "fuchsiaproxy/base/strong_type.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 
 /// Revision of a key; grows with each write of it. Zero means that the key does not exist.
@@ -72,6 +72,6 @@
     virtual void release_lease(std::string name, std::string holder, release_handler done) = 0;
 };
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
 
 #endif
--- /dev/null
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -0,0 +1,83 @@
+#ifndef FUCHSIAPROXY_METADATA_STORE_FOLLOWER_HPP
+#define FUCHSIAPROXY_METADATA_STORE_FOLLOWER_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/base/timer_service.hpp"
+#include "fuchsiaproxy/metadata/key_value_store.hpp"
+
+namespace fuchsiaproxy::metadata
+{
+
+/// Receiver of what a `store_follower` learns.
+class follower_events
+{
+public:
+    virtual ~follower_events() = default;
+
+    /// All keys with the prefix; keys that were known before and are not listed have gone.
+    virtual void listed(std::vector<key_value> const& items) = 0;
+
+    /// One key was written or removed.
+    virtual void changed(key_value const& it) = 0;
+
+    /// The store answers again, or has stopped to answer.
+    virtual void store_reachable(bool reachable, std::string const& why) = 0;
+};
+
+/// Timing of a `store_follower`.
+struct follower_settings
+{
+    std::string prefix;
+    /// Longest wait of one watch.
+    base::duration watch_wait = std::chrono::seconds(4);
+    /// Pause after the first failed call; doubles up to `longest_pause`, with jitter.
+    base::duration first_pause = std::chrono::milliseconds(100);
+    base::duration longest_pause = std::chrono::milliseconds(800);
+    /// Seed of the jitter.
+    std::uint64_t seed = 1;
+};
+
+/// Counts of a follower since its start.
+struct follower_counters
+{
+    std::uint64_t listings = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t changes = 0;
+    std::uint64_t failed_calls = 0;
+    std::uint64_t lost_histories = 0;
+};
+
+/// Keeps a copy of the keys with a prefix up to date: lists them once, watches from the revision of
+/// the first page on, and lists again when the store has dropped the history in between.
+///
+/// Thread safety: none; used on the thread of the store and the timers.
+class store_follower
+{
+public:
+    /// All arguments must outlive the follower.
+    store_follower(key_value_store& store, base::timer_service& timers, follower_events& events,
+                   follower_settings settings);
+    ~store_follower();
+
+    store_follower(store_follower const&) = delete;
+    store_follower& operator=(store_follower const&) = delete;
+
+    /// Starts to follow. Precondition: called once.
+    void start();
+
+    /// Returns the counts.
+    follower_counters const& counters() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace fuchsiaproxy::metadata
+
+#endif
--- a/src/include/fuchsiaproxy/operators/configuration_service.hpp
+++ b/src/include/fuchsiaproxy/operators/configuration_service.hpp
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/metadata/configuration_keys.hpp"
+#include "fuchsiaproxy/metadata/store.hpp"
 #include "fuchsiaproxy/model/apply_change.hpp"
-#include "fuchsiaproxy/platform/configuration_keys.hpp"
-#include "fuchsiaproxy/platform/store.hpp"
 
 namespace fuchsiaproxy::operators
 {
@@ -17,7 +17,7 @@
 struct current_configuration
 {
     model::manifest head;
-    platform::key_revision revision;
+    metadata::key_revision revision;
     std::shared_ptr<model::configuration const> value;
 };
 
@@ -45,7 +45,7 @@
     using read_handler = std::function<void(base::result<current_configuration>)>;
     using change_handler = std::function<void(base::result<change_receipt>)>;
 
-    explicit configuration_service(platform::store& store) : store_(store) {}
+    explicit configuration_service(metadata::store& store) : store_(store) {}
 
     /// Reads the accepted configuration.
     void read(read_handler done);
@@ -60,7 +60,7 @@
     friend class read_operation;
     friend class write_operation;
 
-    platform::store& store_;
+    metadata::store& store_;
     /// Segments of the head that was read last. Their keys are immutable.
     model::segment_documents documents_;
 };
--- a/src/include/fuchsiaproxy/relay/relay.hpp
+++ b/src/include/fuchsiaproxy/relay/relay.hpp
@@ -30,7 +30,8 @@
     /// relay keeps. A caller that sends slowly therefore holds no slot of an upstream.
     virtual void request_arrived(callers::request_head const& head) = 0;
 
-    /// An upstream has answered. Returns whether this answer is to be passed on. The first one
+    /// An upstream has answered; with a relay that holds answers, the answer is complete or longer
+    /// than is held. Returns whether this answer is to be passed on. The first one
     /// that is accepted wins, and the request's other attempts are cancelled. An answer that is
     /// not accepted is read to its end and dropped.
     virtual bool attempt_head(base::attempt_id attempt, unsigned status) = 0;
@@ -65,9 +66,11 @@
 class relay final : public callers::request_handler
 {
 public:
-    /// All arguments must outlive the relay. `io` is the io_context of the traffic thread.
+    /// All arguments must outlive the relay. `io` is the io_context of the traffic thread. Up to
+    /// `held_bytes` of an answer's body are kept back until it is complete, so that an answer that
+    /// breaks off early can be replaced by another attempt's.
     relay(boost::asio::io_context& io, http::buffer_pool& buffers, upstreams::client& client,
-          relay_events& events);
+          relay_events& events, std::size_t held_bytes = 0);
     ~relay() override;
 
     relay(relay const&) = delete;
--- a/src/include/fuchsiaproxy/runtime/events.hpp
+++ b/src/include/fuchsiaproxy/runtime/events.hpp
@@ -11,8 +11,8 @@
 #include "fuchsiaproxy/engine/engine.hpp"
 #include "fuchsiaproxy/limits/share_document.hpp"
 #include "fuchsiaproxy/messages/messages.hpp"
-#include "fuchsiaproxy/platform/configuration_reader.hpp"
-#include "fuchsiaproxy/platform/instance_list.hpp"
+#include "fuchsiaproxy/metadata/configuration_reader.hpp"
+#include "fuchsiaproxy/metadata/instance_list.hpp"
 
 namespace fuchsiaproxy::runtime
 {
@@ -32,7 +32,7 @@
 /// The platform's list was read.
 struct instances_read
 {
-    std::vector<platform::listed_instance> instances;
+    std::vector<metadata::listed_instance> instances;
 };
 
 /// The share reservations of the availability zone were read.
@@ -54,7 +54,7 @@
 };
 
 /// What other threads tell the traffic thread.
-using traffic_event = std::variant<peer_message, peer_lost, platform::accepted_configuration,
+using traffic_event = std::variant<peer_message, peer_lost, metadata::accepted_configuration,
                                    instances_read, shares_loaded, shares_stored, engine_query>;
 
 /// Send a message to an entry.
--- a/src/include/fuchsiaproxy/runtime/operators_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/operators_loop.hpp
@@ -9,10 +9,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
 #include "fuchsiaproxy/operators/configuration_service.hpp"
 #include "fuchsiaproxy/operators/daemon_view.hpp"
 #include "fuchsiaproxy/operators/http_api.hpp"
-#include "fuchsiaproxy/platform/http_clients.hpp"
 #include "fuchsiaproxy/runtime/events.hpp"
 #include "fuchsiaproxy/settings/daemon_settings.hpp"
 
@@ -28,7 +28,7 @@
 public:
     /// `to_traffic` returns false when its ring is full. `io` must outlive the loop.
     operators_loop(boost::asio::io_context& io, settings::daemon_settings const& settings,
-                   std::shared_ptr<platform::platform_counters> const& counters,
+                   std::shared_ptr<metadata::platform_counters> const& counters,
                    std::function<bool(traffic_event)> to_traffic,
                    std::function<std::string()> metrics);
     ~operators_loop() override;
@@ -57,7 +57,7 @@
 
 private:
     std::function<bool(traffic_event)> to_traffic_;
-    std::unique_ptr<platform::store> store_;
+    std::unique_ptr<metadata::store> store_;
     operators::configuration_service configurations_;
     operators::http_api api_;
     mutable std::mutex mutex_;
--- a/src/include/fuchsiaproxy/runtime/platform_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/platform_loop.hpp
@@ -8,9 +8,9 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "fuchsiaproxy/platform/configuration_reader.hpp"
-#include "fuchsiaproxy/platform/http_clients.hpp"
-#include "fuchsiaproxy/platform/share_store.hpp"
+#include "fuchsiaproxy/metadata/configuration_reader.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
+#include "fuchsiaproxy/metadata/share_store.hpp"
 #include "fuchsiaproxy/runtime/asio_timer_service.hpp"
 #include "fuchsiaproxy/runtime/events.hpp"
 #include "fuchsiaproxy/settings/daemon_settings.hpp"
@@ -26,7 +26,7 @@
 public:
     /// `to_traffic` returns false when its ring is full. `io` must outlive the loop.
     platform_loop(boost::asio::io_context& io, settings::platform_settings const& settings,
-                  std::shared_ptr<platform::platform_counters> const& counters,
+                  std::shared_ptr<metadata::platform_counters> const& counters,
                   std::function<bool(traffic_event)> to_traffic);
 
     /// Starts to look for a configuration and for other entries. Precondition: called once, on the
@@ -44,18 +44,18 @@
     void handle_one(write_shares const& it);
     void read_instances();
     void report_stored(bool committed);
-    void deliver(platform::accepted_configuration it);
+    void deliver(metadata::accepted_configuration it);
 
     asio_timer_service timers_;
-    std::unique_ptr<platform::store> store_;
-    std::unique_ptr<platform::instance_list> list_;
+    std::unique_ptr<metadata::store> store_;
+    std::unique_ptr<metadata::instance_list> list_;
     std::function<bool(traffic_event)> to_traffic_;
-    platform::configuration_reader reader_;
-    platform::share_store shares_;
+    metadata::configuration_reader reader_;
+    metadata::share_store shares_;
     std::unique_ptr<base::timer_subscription> list_timer_;
     std::unique_ptr<base::timer_subscription> stored_report_;
     /// Configuration that the full ring of the traffic thread refused.
-    std::optional<platform::accepted_configuration> undelivered_;
+    std::optional<metadata::accepted_configuration> undelivered_;
     bool is_hub_ = false;
     bool knows_configuration_ = false;
     bool reading_list_ = false;
--- a/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
+++ b/src/include/fuchsiaproxy/runtime/traffic_loop.hpp
@@ -101,7 +101,7 @@
 private:
     void handle_one(peer_message& it, engine::engine_actions& out);
     void handle_one(peer_lost& it, engine::engine_actions& out);
-    void handle_one(platform::accepted_configuration& it, engine::engine_actions& out);
+    void handle_one(metadata::accepted_configuration& it, engine::engine_actions& out);
     void handle_one(instances_read& it, engine::engine_actions& out);
     void handle_one(shares_loaded& it, engine::engine_actions& out);
     void handle_one(shares_stored& it, engine::engine_actions& out);
--- a/src/include/fuchsiaproxy/standin/caller.hpp
+++ b/src/include/fuchsiaproxy/standin/caller.hpp
@@ -12,7 +12,7 @@
 
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/time.hpp"
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -21,7 +21,7 @@
 struct caller_settings
 {
     /// Entries that are asked for the entries to use.
-    std::vector<platform::http_endpoint> entries;
+    std::vector<metadata::http_endpoint> entries;
     std::string service = "catalog";
     std::string zone = "harju-a";
     /// Targets of the requests; look-ups are idempotent and sent with GET, orders with POST.
--- a/src/include/fuchsiaproxy/standin/http_server.hpp
+++ b/src/include/fuchsiaproxy/standin/http_server.hpp
@@ -10,7 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -20,8 +20,8 @@
 {
     std::string method;
     std::string path;
-    std::vector<platform::http_field> query;
-    std::vector<platform::http_field> fields;
+    std::vector<metadata::http_field> query;
+    std::vector<metadata::http_field> fields;
     std::string body;
 };
 
@@ -40,7 +40,7 @@
 
     /// Sends the answer. Only the first call of `answer` or `abort` has an effect.
     virtual void answer(unsigned status, std::string body,
-                        std::vector<platform::http_field> fields = {}) = 0;
+                        std::vector<metadata::http_field> fields = {}) = 0;
 
     /// Closes the connection without an answer.
     virtual void abort() = 0;
@@ -59,14 +59,14 @@
 
     /// Listens at `at`; port 0 takes a free port. Throws `boost::system::system_error` when the
     /// address cannot be bound. Precondition: `io` outlives the server.
-    http_server(boost::asio::io_context& io, platform::http_endpoint const& at, handler handle);
+    http_server(boost::asio::io_context& io, metadata::http_endpoint const& at, handler handle);
     /// Closes all connections.
     ~http_server();
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
 
     /// Returns the address that the server listens at.
-    platform::http_endpoint endpoint() const;
+    metadata::http_endpoint endpoint() const;
 
     /// Closes a new connection at once while `n` connections are open; 0 means no limit.
     void limit_connections(std::size_t n);
--- a/src/include/fuchsiaproxy/standin/store.hpp
+++ b/src/include/fuchsiaproxy/standin/store.hpp
@@ -8,8 +8,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fuchsiaproxy/base/time.hpp"
-#include "fuchsiaproxy/platform/http_client.hpp"
-#include "fuchsiaproxy/platform/instance_list.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
+#include "fuchsiaproxy/metadata/instance_list.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -67,14 +67,14 @@
 public:
     /// Listens at `at`; port 0 takes a free port. Throws when the address cannot be bound.
     /// Precondition: `io` outlives the server.
-    store_server(boost::asio::io_context& io, platform::http_endpoint const& at,
+    store_server(boost::asio::io_context& io, metadata::http_endpoint const& at,
                  store_settings settings = {});
     ~store_server();
     store_server(store_server const&) = delete;
     store_server& operator=(store_server const&) = delete;
 
     /// Returns the address that the server listens at.
-    platform::http_endpoint endpoint() const;
+    metadata::http_endpoint endpoint() const;
     /// Returns the counts so far.
     store_counts const& counts() const noexcept;
     /// Returns the number of watches that wait now.
@@ -93,7 +93,7 @@
     /// Changes the age of the instance list.
     void set_list_lag(base::duration age);
     /// Adds or replaces an instance.
-    void put_instance(platform::listed_instance instance);
+    void put_instance(metadata::listed_instance instance);
     /// Removes an instance.
     void remove_instance(std::string const& id);
 
--- a/src/include/fuchsiaproxy/standin/tcp_relay.hpp
+++ b/src/include/fuchsiaproxy/standin/tcp_relay.hpp
@@ -7,7 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -28,15 +28,15 @@
 public:
     /// Listens at `at` (port 0 takes a free port) and forwards to `server`. Throws when the address
     /// cannot be bound. Precondition: `io` outlives the relay.
-    tcp_relay(boost::asio::io_context& io, platform::http_endpoint const& at,
-              platform::http_endpoint const& server);
+    tcp_relay(boost::asio::io_context& io, metadata::http_endpoint const& at,
+              metadata::http_endpoint const& server);
     /// Closes all connections.
     ~tcp_relay();
     tcp_relay(tcp_relay const&) = delete;
     tcp_relay& operator=(tcp_relay const&) = delete;
 
     /// Returns the address that the relay listens at.
-    platform::http_endpoint endpoint() const;
+    metadata::http_endpoint endpoint() const;
 
     /// Silences the connections that are open now, for ever. New connections work.
     void silence_open_connections(relay_loss loss);
@@ -65,15 +65,15 @@
 public:
     /// Listens at `at` for connections to `server` and at `control_at` for control requests. Throws
     /// when an address cannot be bound. Precondition: `io` outlives the server.
-    relay_server(boost::asio::io_context& io, platform::http_endpoint const& at,
-                 platform::http_endpoint const& server, platform::http_endpoint const& control_at);
+    relay_server(boost::asio::io_context& io, metadata::http_endpoint const& at,
+                 metadata::http_endpoint const& server, metadata::http_endpoint const& control_at);
     ~relay_server();
     relay_server(relay_server const&) = delete;
     relay_server& operator=(relay_server const&) = delete;
 
     /// Returns the addresses that the server listens at.
-    platform::http_endpoint endpoint() const;
-    platform::http_endpoint control_endpoint() const;
+    metadata::http_endpoint endpoint() const;
+    metadata::http_endpoint control_endpoint() const;
 
 private:
     class impl;
--- a/src/include/fuchsiaproxy/standin/upstream.hpp
+++ b/src/include/fuchsiaproxy/standin/upstream.hpp
@@ -12,7 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fuchsiaproxy/base/time.hpp"
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -122,7 +122,7 @@
 public:
     /// Listens at `at`; port 0 takes a free port. Throws when the address cannot be bound.
     /// Service times are drawn from `seed`. Precondition: `io` outlives the server.
-    upstream_server(boost::asio::io_context& io, platform::http_endpoint const& at, std::string id,
+    upstream_server(boost::asio::io_context& io, metadata::http_endpoint const& at, std::string id,
                     upstream_settings settings, std::uint64_t seed,
                     std::shared_ptr<run_journal> journal);
     ~upstream_server();
@@ -130,7 +130,7 @@
     upstream_server& operator=(upstream_server const&) = delete;
 
     /// Returns the address that the server listens at.
-    platform::http_endpoint endpoint() const;
+    metadata::http_endpoint endpoint() const;
 
     /// Returns the counts so far.
     upstream_counts const& counts() const noexcept;
--- /dev/null
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -0,0 +1,204 @@
+#ifndef FUCHSIAPROXY_STEERING_DIRECTOR_HPP
+#define FUCHSIAPROXY_STEERING_DIRECTOR_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "fuchsiaproxy/base/attempt_result.hpp"
+#include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/load_report.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/model/configuration.hpp"
+#include "fuchsiaproxy/steering/director_settings.hpp"
+#include "fuchsiaproxy/steering/records.hpp"
+
+namespace fuchsiaproxy::steering
+{
+
+/// A caller's request as the director needs it.
+struct arrived_request
+{
+    base::local_request_id id;
+    std::string_view host;
+    /// Path with query.
+    std::string_view target;
+    /// Names the object that the request concerns; empty if the caller named none.
+    std::string_view affinity_key;
+    /// Given by the caller; the route's timeout limits it.
+    std::optional<base::time_point> deadline;
+};
+
+/// How an attempt ended, with what its upstream said.
+struct attempt_end
+{
+    base::attempt_result result = base::attempt_result::not_sent;
+    /// Status of the answer, or 0 if no head arrived.
+    unsigned status = 0;
+    bool sent = false;
+    /// Time that the connection took, if one was made.
+    std::optional<base::duration> connect_time;
+    std::optional<base::load_report> load;
+    /// Another upstream has the address.
+    bool wrong_upstream = false;
+};
+
+/// Send the request to an upstream.
+struct start_attempt
+{
+    base::local_request_id request;
+    base::attempt_id attempt;
+    base::upstream_id upstream;
+    model::endpoint at;
+    base::time_point deadline;
+    bool idempotent = false;
+};
+
+/// Stop an attempt. Its end is still reported.
+struct cancel_attempt
+{
+    base::attempt_id attempt;
+};
+
+/// Answer the request with an error.
+struct answer_error
+{
+    base::local_request_id request;
+    base::error_kind kind = base::error_kind::internal;
+    /// When the caller may come back; zero if there is nothing to come back for.
+    base::duration retry_after{};
+};
+
+/// The upstream gets no new work; its idle connections can be closed.
+struct upstream_left
+{
+    model::endpoint at;
+};
+
+/// The limits on what callers may send have changed.
+struct limits_changed
+{
+    caller_limits limits;
+};
+
+/// Why an attempt was sent where it was, and how it ended; for logs.
+struct attempt_explained
+{
+    base::local_request_id request;
+    base::attempt_id attempt;
+    std::string route;
+    base::upstream_id upstream;
+    base::config_version version;
+    /// Hash of the request's object; zero if none.
+    std::uint64_t object = 0;
+    /// Rank of the upstream in the order of the object.
+    std::size_t rank = 0;
+    base::duration expected{};
+    base::duration took{};
+    /// Load of the upstream when it was chosen: attempts of this entry, and the estimate for the
+    /// others, with the age of the report that it comes from.
+    std::uint32_t in_flight = 0;
+    double foreign = 0;
+    std::optional<base::duration> report_age;
+    base::attempt_result result = base::attempt_result::not_sent;
+    unsigned status = 0;
+};
+
+using director_action = std::variant<start_attempt, cancel_attempt, answer_error, upstream_left,
+                                     limits_changed, attempt_explained>;
+using director_actions = std::vector<director_action>;
+
+/// Who a director decides for.
+struct director_identity
+{
+    base::instance_id id;
+    base::availability_zone_id zone;
+    base::region_id region;
+    /// Zones of the deployment and their regions.
+    std::map<base::availability_zone_id, base::region_id> zones;
+};
+
+/// What a director did since it was created.
+struct director_counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t first_attempts = 0;
+    std::uint64_t extra_attempts = 0;
+    std::uint64_t unsent_attempts = 0;
+    std::uint64_t refused_by_upstreams = 0;
+    std::uint64_t failed_attempts = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t answered_late = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown_routes = 0;
+    std::uint64_t over_budget = 0;
+    std::uint64_t callers_gone = 0;
+    std::uint64_t stale_configurations = 0;
+};
+
+/// Decides, at one entry, which upstream serves each request, whether it may be sent again, and
+/// which entries callers are told of.
+///
+/// Thread safety: none; owned by one thread. Times must not decrease from call to call. Each
+/// function appends its actions to `out`.
+class director
+{
+public:
+    director(director_settings const& settings, director_identity self, std::uint64_t seed);
+    ~director();
+    director(director const&) = delete;
+    director& operator=(director const&) = delete;
+
+    /// Takes what the control plane says. Configurations whose version is not higher than the one
+    /// in force are ignored.
+    void on_control(control_event const& it, base::time_point now, director_actions& out);
+
+    /// Takes a request. Precondition: its id was not used before.
+    void on_request(arrived_request const& it, base::time_point now, director_actions& out);
+
+    /// Takes the head of an answer; returns whether the answer is passed on to the caller.
+    bool on_attempt_head(base::attempt_id attempt, unsigned status, base::time_point now,
+                         director_actions& out);
+
+    /// Takes the end of an attempt.
+    void on_attempt_finished(base::attempt_id attempt, attempt_end const& end, base::time_point now,
+                             director_actions& out);
+
+    /// Takes the news that the caller of a request is gone.
+    void on_caller_gone(base::local_request_id request, base::time_point now,
+                        director_actions& out);
+
+    /// Performs what is due.
+    void tick(base::time_point now, director_actions& out);
+
+    /// Returns when `tick` has to be called next; the largest time if never.
+    base::time_point next_wakeup() const;
+
+    /// Returns the addresses of the entries for a caller in `zone`.
+    std::vector<std::string> look_up(base::availability_zone_id const& zone) const;
+
+    /// Returns whether this entry knows a configuration and upstreams.
+    bool ready() const;
+
+    /// Returns the requests that have not ended.
+    std::size_t open_requests() const;
+
+    /// Returns the version of the configuration in force; zero if there is none.
+    base::config_version version() const;
+
+    director_counters const& counters() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace fuchsiaproxy::steering
+
+#endif
--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -10,6 +10,7 @@
 
 #include "fuchsiaproxy/base/attempt_result.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/load_report.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/http/fields.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
@@ -50,11 +51,11 @@
     model::endpoint at;
     std::string method;
     std::string target;
-    /// End-to-end fields without `Deadline-Ms`.
+    /// End-to-end fields without the deadline.
     http::fields fields;
     base::time_point deadline;
     bool idempotent = false;
-    /// Statuses that, together with the field `Shed: 1`, refuse a request before it runs.
+    /// Statuses that the service declares for refusals; see `dialect::is_refusal`.
     std::vector<unsigned> shed_statuses;
     /// Null when there is no body. Must outlive the attempt.
     body_source* body = nullptr;
@@ -81,6 +82,10 @@
     std::uint64_t bytes_received = 0;
     /// The upstream asked for no more work: `Connection: close`, or `Draining` in a shed answer.
     bool upstream_leaving = false;
+    /// Time that the connection took, if the attempt opened one.
+    std::optional<base::duration> connect_time;
+    /// Load that the upstream stated with its answer.
+    std::optional<base::load_report> load;
 };
 
 /// Whether there is something to take from an answer's body.
--- a/src/include/fuchsiaproxy/upstreams/client.hpp
+++ b/src/include/fuchsiaproxy/upstreams/client.hpp
@@ -11,6 +11,7 @@
 #include "fuchsiaproxy/base/timer_service.hpp"
 #include "fuchsiaproxy/http/buffer_pool.hpp"
 #include "fuchsiaproxy/upstreams/attempt.hpp"
+#include "fuchsiaproxy/upstreams/dialect.hpp"
 
 namespace fuchsiaproxy::upstreams
 {
@@ -29,6 +30,8 @@
     base::duration fresh_limit = std::chrono::seconds(1);
     /// Longest silence in the body of an answer. Before the head the deadline decides.
     base::duration body_idle_limit = std::chrono::seconds(5);
+    /// What the upstreams say in their header fields.
+    std::shared_ptr<dialect const> upstream_dialect = native_dialect();
 };
 
 /// Counts of a `client` since its start.
@@ -49,6 +52,8 @@
     std::uint64_t pool_full = 0;
     /// Answers that broke off or were not strict HTTP/1.1.
     std::uint64_t broken = 0;
+    /// Answers that belonged to an earlier request on their connection.
+    std::uint64_t foreign_answers = 0;
     std::uint64_t timed_out = 0;
     /// Attempts that were not sent because their deadline had passed.
     std::uint64_t late = 0;
--- /dev/null
+++ b/src/include/fuchsiaproxy/upstreams/dialect.hpp
@@ -0,0 +1,53 @@
+#ifndef FUCHSIAPROXY_UPSTREAMS_DIALECT_HPP
+#define FUCHSIAPROXY_UPSTREAMS_DIALECT_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "fuchsiaproxy/base/load_report.hpp"
+#include "fuchsiaproxy/http/fields.hpp"
+
+namespace fuchsiaproxy::upstreams
+{
+
+/// What upstreams of one kind say in header fields besides their answer's payload.
+///
+/// Thread safety: all functions may be called on any thread.
+class dialect
+{
+public:
+    virtual ~dialect() = default;
+
+    /// Returns the name of the field that tells the upstream how many milliseconds are left.
+    virtual std::string_view deadline_field() const = 0;
+
+    /// Returns whether the answer states that the request has not run and never will.
+    /// `declared` are the statuses that the service declares for this purpose.
+    virtual bool is_refusal(unsigned status, http::fields const& answer,
+                            std::vector<unsigned> const& declared) const = 0;
+
+    /// Returns whether `answer` belongs to `request`. An upstream may send an answer twice, and the
+    /// second copy then stands where the next answer is expected.
+    virtual bool belongs(http::fields const& answer, http::fields const& request) const = 0;
+
+    /// Returns whether an answer without a length ends with its connection. If false, such an
+    /// answer counts as broken.
+    virtual bool body_may_end_with_connection() const = 0;
+
+    /// Returns whether a refusal says that the upstream takes no more work.
+    virtual bool is_leaving(http::fields const& answer) const = 0;
+
+    /// Returns the load that the answer states, if it states any.
+    virtual std::optional<base::load_report> load(http::fields const& answer) const = 0;
+};
+
+/// Returns the dialect of the project's own protocol: `Deadline-Ms`, `Shed` and `Draining`.
+/// Thread safe.
+std::shared_ptr<dialect const> native_dialect();
+
+} // namespace fuchsiaproxy::upstreams
+
+#endif
--- a/src/platform/configuration_reader.cpp
+++ b/src/metadata/configuration_reader.cpp
@@ -1,4 +1,4 @@
-#include "fuchsiaproxy/platform/configuration_reader.hpp"
+#include "fuchsiaproxy/metadata/configuration_reader.hpp"
 
 #include <chrono>
 #include <utility>
@@ -6,7 +6,7 @@
 
 #include "fuchsiaproxy/model/json.hpp"
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 namespace
 {
@@ -231,4 +231,4 @@
     return impl_->counters();
 }
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
--- a/src/platform/configuration_reader_test.cpp
+++ b/src/metadata/configuration_reader_test.cpp
@@ -1,4 +1,4 @@
-#include "fuchsiaproxy/platform/configuration_reader.hpp"
+#include "fuchsiaproxy/metadata/configuration_reader.hpp"
 
 #include <chrono>
 #include <deque>
@@ -21,7 +21,7 @@
 {
 
 // Store in memory whose calls wait until the test answers them.
-class scripted_store final : public platform::store
+class scripted_store final : public metadata::store
 {
 public:
     void get(std::string key, value_handler done) override
@@ -30,13 +30,13 @@
         pending.emplace_back(std::move(key), std::move(done));
     }
 
-    void watch(std::string key, platform::key_revision, base::duration, value_handler done) override
+    void watch(std::string key, metadata::key_revision, base::duration, value_handler done) override
     {
         ++watches;
         pending.emplace_back(std::move(key), std::move(done));
     }
 
-    void compare_and_swap(std::string, platform::key_revision, std::string,
+    void compare_and_swap(std::string, metadata::key_revision, std::string,
                           revision_handler) override
     {
     }
@@ -51,7 +51,7 @@
             auto const next = std::move(pending.front());
             pending.pop_front();
             auto const found = values.find(next.first);
-            next.second(found == values.end() ? platform::stored_value{} : found->second);
+            next.second(found == values.end() ? metadata::stored_value{} : found->second);
         }
     }
 
@@ -82,14 +82,14 @@
         for (auto const& segment : model::split_into_segments(it))
         {
             head.segments.push_back({segment.name, segment.hash});
-            values[platform::configuration_segment_key(segment.hash)] = {segment.document,
-                                                                         platform::key_revision(1)};
+            values[metadata::configuration_segment_key(segment.hash)] = {segment.document,
+                                                                         metadata::key_revision(1)};
         }
-        values[platform::configuration_head_key] = {model::to_json(head),
-                                                    platform::key_revision(revision)};
+        values[metadata::configuration_head_key] = {model::to_json(head),
+                                                    metadata::key_revision(revision)};
     }
 
-    std::map<std::string, platform::stored_value> values;
+    std::map<std::string, metadata::stored_value> values;
     std::deque<std::pair<std::string, value_handler>> pending;
     int gets = 0;
     int watches = 0;
@@ -102,7 +102,7 @@
     scripted_store store;
     fuchsiaproxy::testing::manual_timer_service timers;
     std::vector<std::uint64_t> versions;
-    platform::configuration_reader reader{
+    metadata::configuration_reader reader{
         store, timers, [this](auto const& it) { versions.push_back(it.value->version.value()); }};
 };
 
--- a/src/platform/http_client.cpp
+++ b/src/metadata/http_client.cpp
@@ -1,4 +1,4 @@
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 #include <deque>
 #include <optional>
@@ -14,7 +14,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 namespace
 {
@@ -438,4 +438,4 @@
     return impl_->counts();
 }
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
--- a/src/platform/http_clients.cpp
+++ b/src/metadata/http_clients.cpp
@@ -1,11 +1,11 @@
-#include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
 
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 namespace
 {
@@ -352,4 +352,4 @@
     return std::make_unique<http_instance_list>(io, endpoint, timeouts, counters);
 }
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
--- /dev/null
+++ b/src/metadata/lease_keeper.cpp
@@ -0,0 +1,173 @@
+#include "fuchsiaproxy/metadata/lease_keeper.hpp"
+
+#include <utility>
+
+#include "retry_pause.hpp"
+
+namespace fuchsiaproxy::metadata
+{
+
+class lease_keeper::impl : public std::enable_shared_from_this<impl>
+{
+    /// Wraps a completion so that it does nothing once the keeper has stopped.
+    template <class Call>
+    auto guarded(Call call)
+    {
+        return [weak = weak_from_this(), call](auto answer)
+        {
+            if (auto const self = weak.lock(); self && !self->stopped_)
+            {
+                call(*self, std::move(answer));
+            }
+        };
+    }
+
+public:
+    impl(key_value_store& store, base::timer_service& timers, std::string key, std::string value,
+         lease_settings settings)
+        : store_(store), timers_(timers), key_(std::move(key)), value_(std::move(value)),
+          settings_(settings), pause_(settings.first_pause, settings.renewal_period, settings.seed)
+    {
+    }
+
+    void start()
+    {
+        store_.grant_lease(settings_.ttl, guarded([](impl& self, auto granted)
+                                                  { self.on_granted(std::move(granted)); }));
+    }
+
+    void withdraw()
+    {
+        stopped_ = true;
+        timer_.reset();
+        if (lease_ != lease_id())
+        {
+            store_.end_lease(lease_, [](base::result<void> const&) {});
+        }
+    }
+
+    void stop()
+    {
+        stopped_ = true;
+        timer_.reset();
+    }
+
+    lease_counters const& counters() const
+    {
+        return counters_;
+    }
+
+private:
+    void on_granted(base::result<granted_lease> granted)
+    {
+        if (!granted)
+        {
+            fail([this] { start(); });
+            return;
+        }
+        lease_ = granted.value().id;
+        write();
+    }
+
+    void write()
+    {
+        store_.put(
+            key_, value_, lease_,
+            guarded([](impl& self, base::result<void> const& done) { self.on_written(done); }));
+    }
+
+    void on_written(base::result<void> const& done)
+    {
+        if (done)
+        {
+            pause_.reset();
+            renew_later();
+        }
+        else if (done.error().kind == base::error_kind::lease_lost)
+        {
+            ++counters_.lost;
+            fail([this] { start(); });
+        }
+        else
+        {
+            fail([this] { write(); });
+        }
+    }
+
+    void renew_later()
+    {
+        timer_ = timers_.at(timers_.now() + settings_.renewal_period,
+                            [this](base::time_point) { renew(); });
+    }
+
+    void renew()
+    {
+        ++counters_.renewals;
+        store_.renew_lease(lease_, guarded([](impl& self, base::result<granted_lease> const& done)
+                                           { self.on_renewed(done); }));
+    }
+
+    void on_renewed(base::result<granted_lease> const& done)
+    {
+        if (done)
+        {
+            pause_.reset();
+            renew_later();
+        }
+        else if (done.error().kind == base::error_kind::lease_lost)
+        {
+            ++counters_.lost;
+            start();
+        }
+        else
+        {
+            fail([this] { renew(); });
+        }
+    }
+
+    template <class Step>
+    void fail(Step step)
+    {
+        ++counters_.failed_calls;
+        timer_ = timers_.at(timers_.now() + pause_.next(), [step](base::time_point) { step(); });
+    }
+
+    key_value_store& store_;
+    base::timer_service& timers_;
+    std::string key_;
+    std::string value_;
+    lease_settings settings_;
+    retry_pause pause_;
+    lease_counters counters_;
+    lease_id lease_;
+    std::unique_ptr<base::timer_subscription> timer_;
+    bool stopped_ = false;
+};
+
+lease_keeper::lease_keeper(key_value_store& store, base::timer_service& timers, std::string key,
+                           std::string value, lease_settings settings)
+    : impl_(std::make_shared<impl>(store, timers, std::move(key), std::move(value), settings))
+{
+}
+
+lease_keeper::~lease_keeper()
+{
+    impl_->stop();
+}
+
+void lease_keeper::start()
+{
+    impl_->start();
+}
+
+void lease_keeper::withdraw()
+{
+    impl_->withdraw();
+}
+
+lease_counters const& lease_keeper::counters() const
+{
+    return impl_->counters();
+}
+
+} // namespace fuchsiaproxy::metadata
--- a/src/platform/share_store.cpp
+++ b/src/metadata/share_store.cpp
@@ -1,11 +1,11 @@
-#include "fuchsiaproxy/platform/share_store.hpp"
+#include "fuchsiaproxy/metadata/share_store.hpp"
 
 #include <exception>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-namespace fuchsiaproxy::platform
+namespace fuchsiaproxy::metadata
 {
 namespace
 {
@@ -107,4 +107,4 @@
                             });
 }
 
-} // namespace fuchsiaproxy::platform
+} // namespace fuchsiaproxy::metadata
--- /dev/null
+++ b/src/metadata/store_follower.cpp
@@ -0,0 +1,169 @@
+#include "fuchsiaproxy/metadata/store_follower.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "retry_pause.hpp"
+
+namespace fuchsiaproxy::metadata
+{
+
+class store_follower::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(key_value_store& store, base::timer_service& timers, follower_events& events,
+         follower_settings settings)
+        : store_(store), timers_(timers), events_(events), settings_(std::move(settings)),
+          pause_(settings_.first_pause, settings_.longest_pause, settings_.seed)
+    {
+    }
+
+    void list()
+    {
+        items_.clear();
+        begin_.reset();
+        ++counters_.listings;
+        next_page({});
+    }
+
+    void stop()
+    {
+        stopped_ = true;
+        timer_.reset();
+    }
+
+    follower_counters const& counters() const
+    {
+        return counters_;
+    }
+
+private:
+    void next_page(std::string after)
+    {
+        store_.list(settings_.prefix, std::move(after),
+                    [weak = weak_from_this()](base::result<key_value_page> page)
+                    {
+                        if (auto const self = weak.lock(); self && !self->stopped_)
+                        {
+                            self->on_page(std::move(page));
+                        }
+                    });
+    }
+
+    void on_page(base::result<key_value_page> page)
+    {
+        if (!page)
+        {
+            fail(page.error(), [this] { list(); });
+            return;
+        }
+        auto& it = page.value();
+        // Pages are no snapshot: what changes while they are read is seen by watching from the
+        // first page's revision on.
+        begin_ = begin_.value_or(it.current);
+        std::move(it.items.begin(), it.items.end(), std::back_inserter(items_));
+        if (it.has_more && !items_.empty())
+        {
+            next_page(items_.back().key);
+            return;
+        }
+        succeed();
+        after_ = *begin_;
+        events_.listed(std::exchange(items_, {}));
+        watch();
+    }
+
+    void watch()
+    {
+        ++counters_.watches;
+        store_.watch(settings_.prefix, after_, settings_.watch_wait,
+                     [weak = weak_from_this()](base::result<key_value_changes> seen)
+                     {
+                         if (auto const self = weak.lock(); self && !self->stopped_)
+                         {
+                             self->on_changes(std::move(seen));
+                         }
+                     });
+    }
+
+    void on_changes(base::result<key_value_changes> seen)
+    {
+        if (!seen && seen.error().kind == base::error_kind::history_lost)
+        {
+            ++counters_.lost_histories;
+            list();
+            return;
+        }
+        if (!seen)
+        {
+            fail(seen.error(), [this] { watch(); });
+            return;
+        }
+        succeed();
+        for (auto const& it : seen.value().changes)
+        {
+            ++counters_.changes;
+            events_.changed(it);
+        }
+        after_ = std::max(after_, seen.value().current);
+        watch();
+    }
+
+    void succeed()
+    {
+        pause_.reset();
+        if (!std::exchange(reachable_, true))
+        {
+            events_.store_reachable(true, {});
+        }
+    }
+
+    template <class Step>
+    void fail(base::error const& why, Step step)
+    {
+        ++counters_.failed_calls;
+        if (std::exchange(reachable_, false))
+        {
+            events_.store_reachable(false, why.message);
+        }
+        timer_ = timers_.at(timers_.now() + pause_.next(), [step](base::time_point) { step(); });
+    }
+
+    key_value_store& store_;
+    base::timer_service& timers_;
+    follower_events& events_;
+    follower_settings settings_;
+    retry_pause pause_;
+    follower_counters counters_;
+    std::vector<key_value> items_;
+    std::optional<store_revision> begin_;
+    store_revision after_;
+    std::unique_ptr<base::timer_subscription> timer_;
+    bool reachable_ = true;
+    bool stopped_ = false;
+};
+
+store_follower::store_follower(key_value_store& store, base::timer_service& timers,
+                               follower_events& events, follower_settings settings)
+    : impl_(std::make_shared<impl>(store, timers, events, std::move(settings)))
+{
+}
+
+store_follower::~store_follower()
+{
+    impl_->stop();
+}
+
+void store_follower::start()
+{
+    impl_->list();
+}
+
+follower_counters const& store_follower::counters() const
+{
+    return impl_->counters();
+}
+
+} // namespace fuchsiaproxy::metadata
--- a/src/operators/configuration_service.cpp
+++ b/src/operators/configuration_service.cpp
@@ -44,13 +44,13 @@
 
     void start()
     {
-        service_.store_.get(platform::configuration_head_key,
+        service_.store_.get(metadata::configuration_head_key,
                             [self = shared_from_this()](auto answer)
                             { self->on_head(std::move(answer)); });
     }
 
 private:
-    void on_head(base::result<platform::stored_value> answer)
+    void on_head(base::result<metadata::stored_value> answer)
     {
         if (!answer)
         {
@@ -68,7 +68,7 @@
         if (!head)
         {
             done_(make_error(head.error().kind, std::string("key ") +
-                                                    platform::configuration_head_key + ": " +
+                                                    metadata::configuration_head_key + ": " +
                                                     head.error().message));
             return;
         }
@@ -84,7 +84,7 @@
             auto const known = service_.documents_.find(hash);
             if (known == service_.documents_.end())
             {
-                service_.store_.get(platform::configuration_segment_key(hash),
+                service_.store_.get(metadata::configuration_segment_key(hash),
                                     [self = shared_from_this()](auto answer)
                                     { self->on_segment(std::move(answer)); });
                 return;
@@ -95,7 +95,7 @@
         finish();
     }
 
-    void on_segment(base::result<platform::stored_value> answer)
+    void on_segment(base::result<metadata::stored_value> answer)
     {
         if (!answer)
         {
@@ -151,11 +151,11 @@
         }
         for (auto const& it : outcome_.segments)
         {
-            if (it.document.size() > platform::max_value_bytes)
+            if (it.document.size() > metadata::max_value_bytes)
             {
                 done_(make_error(error_kind::value_too_large,
                                  "segment " + it.name + ": expected at most " +
-                                     std::to_string(platform::max_value_bytes) + " bytes, found " +
+                                     std::to_string(metadata::max_value_bytes) + " bytes, found " +
                                      std::to_string(it.document.size())));
                 return;
             }
@@ -179,11 +179,11 @@
         }
         auto const& it = outcome_.segments[next_];
         service_.store_.compare_and_swap(
-            platform::configuration_segment_key(it.hash), platform::key_revision(0), it.document,
+            metadata::configuration_segment_key(it.hash), metadata::key_revision(0), it.document,
             [self = shared_from_this()](auto answer) { self->on_segment(std::move(answer)); });
     }
 
-    void on_segment(base::result<platform::key_revision> answer)
+    void on_segment(base::result<metadata::key_revision> answer)
     {
         // A conflict means that the key exists; its content is given by its hash.
         if (answer || answer.error().kind == error_kind::store_conflict)
@@ -206,11 +206,11 @@
     void write_head()
     {
         service_.store_.compare_and_swap(
-            platform::configuration_head_key, state_.revision, model::to_json(outcome_.head),
+            metadata::configuration_head_key, state_.revision, model::to_json(outcome_.head),
             [self = shared_from_this()](auto answer) { self->on_head(std::move(answer)); });
     }
 
-    void on_head(base::result<platform::key_revision> answer)
+    void on_head(base::result<metadata::key_revision> answer)
     {
         if (answer)
         {
@@ -238,12 +238,12 @@
             give_up();
             return;
         }
-        service_.store_.get(platform::configuration_head_key,
+        service_.store_.get(metadata::configuration_head_key,
                             [self = shared_from_this()](auto answer)
                             { self->on_resolution(std::move(answer)); });
     }
 
-    void on_resolution(base::result<platform::stored_value> answer)
+    void on_resolution(base::result<metadata::stored_value> answer)
     {
         if (!answer)
         {
--- a/src/operators/fixture_test.hpp
+++ b/src/operators/fixture_test.hpp
@@ -26,7 +26,7 @@
 };
 
 /// Store in memory. Faults are taken in order, one for each call of their kind.
-class fake_store : public platform::store
+class fake_store : public metadata::store
 {
 public:
     std::deque<fault> head_reads;
@@ -34,11 +34,11 @@
     std::deque<fault> segment_writes;
     /// Called before each write of the head takes effect; for racing writers.
     std::function<void()> before_head_write;
-    std::map<std::string, platform::stored_value> values;
+    std::map<std::string, metadata::stored_value> values;
 
     void get(std::string key, value_handler done) override
     {
-        auto const it = key == platform::configuration_head_key ? next(head_reads) : fault::none;
+        auto const it = key == metadata::configuration_head_key ? next(head_reads) : fault::none;
         if (it != fault::none)
         {
             done(error_of(it));
@@ -47,10 +47,10 @@
         done(values[key]);
     }
 
-    void compare_and_swap(std::string key, platform::key_revision expected, std::string value,
+    void compare_and_swap(std::string key, metadata::key_revision expected, std::string value,
                           revision_handler done) override
     {
-        bool const head = key == platform::configuration_head_key;
+        bool const head = key == metadata::configuration_head_key;
         if (head && before_head_write)
         {
             std::exchange(before_head_write, nullptr)();
@@ -61,7 +61,7 @@
         if (accepted && (it == fault::none || it == fault::lost_after))
         {
             known.value = std::move(value);
-            known.revision = platform::key_revision(known.revision.value() + 1);
+            known.revision = metadata::key_revision(known.revision.value() + 1);
         }
         if (it != fault::none)
         {
@@ -76,7 +76,7 @@
         done(known.revision);
     }
 
-    void watch(std::string key, platform::key_revision known, base::duration wait,
+    void watch(std::string key, metadata::key_revision known, base::duration wait,
                value_handler done) override
     {
         get(std::move(key), std::move(done));
--- a/src/operators/http_api_test.cpp
+++ b/src/operators/http_api_test.cpp
@@ -111,7 +111,7 @@
         CHECK_EQUAL_TEXT(r.status, answer.status, r.target);
         STRCMP_CONTAINS(r.text, answer.body.c_str());
     }
-    CHECK(it.store.values[platform::configuration_head_key].revision == platform::key_revision(1));
+    CHECK(it.store.values[metadata::configuration_head_key].revision == metadata::key_revision(1));
     auto const accepted = it.send("POST", "/v1/changes", key, change("c", "1", removal));
     CHECK_EQUAL(200U, accepted.status);
     STRCMP_CONTAINS(R"("replayed":false)", accepted.body.c_str());
--- a/src/peers/peer_network_test.cpp
+++ b/src/peers/peer_network_test.cpp
@@ -9,7 +9,7 @@
 
 #include "../testing/asio_runner.hpp"
 #include "../testing/manual_timer_service.hpp"
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 #include "fuchsiaproxy/standin/tcp_relay.hpp"
 #include "link_handshake.hpp"
 #include "message_samples.hpp"
@@ -132,8 +132,8 @@
         a = std::make_unique<test_entry>(io, timers, of_a);
         b = std::make_unique<test_entry>(io, timers, of_b);
         relay =
-            std::make_unique<standin::tcp_relay>(io, platform::http_endpoint{"127.0.0.1", 0},
-                                                 platform::parse_endpoint(b->network.address()));
+            std::make_unique<standin::tcp_relay>(io, metadata::http_endpoint{"127.0.0.1", 0},
+                                                 metadata::parse_endpoint(b->network.address()));
         auto const at = relay->endpoint();
         a->network.set_address(id_b, at.address + ":" + std::to_string(at.port));
     }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -247,8 +247,8 @@
 }
 
 relay::relay(boost::asio::io_context& io, http::buffer_pool& buffers, upstreams::client& client,
-             relay_events& events)
-    : impl_(std::make_unique<impl>(io, buffers, client, events))
+             relay_events& events, std::size_t held_bytes)
+    : impl_(std::make_unique<impl>(io, buffers, client, events, held_bytes))
 {
 }
 
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -92,14 +92,61 @@
         return;
     }
     attempt->answered = true;
-    auto const request_id = attempt->request;
+    if (held_bytes_ > 0)
+    {
+        attempt->held_head = head;
+        hold(id);
+        return;
+    }
+    offer(id, head);
+    pump(id);
+}
+
+/// Keeps the answer back until it is complete or longer than is held, and then offers it.
+void relay::impl::hold(attempt_id id)
+{
+    auto* const attempt = find(id);
+    auto const source = attempt->attempt;
+    auto& body = attempt->held_body;
+    auto part = source->part();
+    while (!part.data.empty() && body.size() + part.data.size() <= held_bytes_)
+    {
+        body.append(part.data);
+        attempt->held_whole = part.end;
+        source->consume(part.data.size());
+        if (part.end)
+        {
+            break;
+        }
+        part = source->part();
+    }
+    attempt->held_whole = attempt->held_whole || (part.end && part.data.empty());
+    if (!attempt->held_whole && part.data.empty())
+    {
+        return; // The next part has not arrived.
+    }
+    auto head = std::move(*attempt->held_head);
+    attempt->held_head.reset();
+    auto const* const request = find(attempt->request);
+    auto const has_body = request != nullptr && request->head.method != "HEAD";
+    if (attempt->held_whole && has_body && !body.empty())
+    {
+        head.content_length = body.size();
+    }
+    offer(id, head);
+    pump(id);
+}
+
+/// Asks whether the answer is to be passed on, and begins to.
+void relay::impl::offer(attempt_id id, upstreams::answer_head const& head)
+{
+    auto const request_id = find(id)->request;
     auto const accepted = events_.attempt_head(id, head.status);
     auto* const request = find(request_id);
     if (accepted && request != nullptr && request->exchange && !request->answered)
     {
         pass_on(*request, id, head);
     }
-    pump(id);
 }
 
 void relay::impl::pass_on(request_state& request, attempt_id attempt,
@@ -125,6 +172,11 @@
     {
         return;
     }
+    if (attempt->held_head)
+    {
+        hold(id);
+        return;
+    }
     auto* const request = find(attempt->request);
     if (request != nullptr && request->winner == id && request->exchange)
     {
@@ -140,6 +192,10 @@
     auto const exchange = request.exchange;
     auto const source = attempt.attempt;
     std::size_t moved = 0;
+    if (!request.writing && !write_held(request, attempt))
+    {
+        return;
+    }
     while (!request.writing && !request.end_written && !exchange->ended())
     {
         if (moved >= turn_bytes)
@@ -175,6 +231,25 @@
     }
 }
 
+/// Writes the part of the answer that was held back. Returns false when the exchange holds it.
+bool relay::impl::write_held(request_state& request, attempt_state& attempt)
+{
+    if (attempt.held_body.empty() && !attempt.held_whole)
+    {
+        return true;
+    }
+    // The exchange may hold the data until `write_ready`, so it moves to the request.
+    request.held_body = std::exchange(attempt.held_body, {});
+    request.end_written = std::exchange(attempt.held_whole, false);
+    request.writing = true;
+    if (!request.exchange->write_body(request.held_body, request.end_written))
+    {
+        return false;
+    }
+    request.writing = false;
+    return true;
+}
+
 void relay::impl::drop_answer(attempt_id id, attempt_state& attempt)
 {
     auto const source = attempt.attempt;
--- a/src/relay/relay_impl.hpp
+++ b/src/relay/relay_impl.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -53,6 +54,8 @@
     /// The exchange holds a part of the winner's answer.
     bool writing = false;
     bool end_written = false;
+    /// Begin of the winner's answer that was held back until it was passed on.
+    std::string held_body;
 };
 
 struct attempt_state
@@ -64,14 +67,18 @@
     /// Size of the part that the exchange holds.
     std::size_t part_size = 0;
     bool answered = false;
+    /// The beginning of an answer that has not been passed on yet, while it is held back.
+    std::optional<upstreams::answer_head> held_head{};
+    std::string held_body{};
+    bool held_whole = false;
 };
 
 class relay::impl final : public upstreams::attempt_events, public upstreams::body_source
 {
 public:
     impl(boost::asio::io_context& io, http::buffer_pool& buffers, upstreams::client& client,
-         relay_events& events)
-        : io_(io), buffers_(buffers), client_(client), events_(events),
+         relay_events& events, std::size_t held_bytes)
+        : io_(io), buffers_(buffers), client_(client), events_(events), held_bytes_(held_bytes),
           alive_(std::make_shared<bool>(true))
     {
     }
@@ -112,6 +119,9 @@
     void pass_on(request_state& request, base::attempt_id attempt,
                  upstreams::answer_head const& head);
     void cancel_all(request_state const& request, base::attempt_id except);
+    void hold(base::attempt_id id);
+    void offer(base::attempt_id id, upstreams::answer_head const& head);
+    bool write_held(request_state& request, attempt_state& attempt);
     void pump(base::attempt_id attempt);
     void pump_to_caller(request_state& request, attempt_state& attempt);
     void drop_answer(base::attempt_id id, attempt_state& attempt);
@@ -122,6 +132,7 @@
     http::buffer_pool& buffers_;
     upstreams::client& client_;
     relay_events& events_;
+    std::size_t held_bytes_;
     std::unordered_map<base::local_request_id, std::unique_ptr<request_state>> requests_;
     std::unordered_map<base::attempt_id, attempt_state> attempts_;
     /// Lets posted calls find out that the relay is gone.
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
 #include "fuchsiaproxy/runtime/duty_thread.hpp"
 #include "fuchsiaproxy/runtime/events.hpp"
 #include "fuchsiaproxy/runtime/operators_loop.hpp"
@@ -218,8 +218,8 @@
     messages::entry_info self_;
     telemetry::state_log log_;
     telemetry::metrics metrics_;
-    std::shared_ptr<platform::platform_counters> platform_counters_ =
-        std::make_shared<platform::platform_counters>();
+    std::shared_ptr<metadata::platform_counters> platform_counters_ =
+        std::make_shared<metadata::platform_counters>();
     duty_thread<traffic_event> traffic_thread_;
     duty_thread<platform_order> platform_thread_;
     duty_thread<peer_order> peers_thread_;
--- a/src/runtime/metrics_export.cpp
+++ b/src/runtime/metrics_export.cpp
@@ -210,18 +210,18 @@
              {"wrong_sender", it.wrong_sender}});
 }
 
-void export_platform(platform::platform_counters& it, telemetry::metrics& to)
+void export_platform(metadata::platform_counters& it, telemetry::metrics& to)
 {
-    for (std::size_t n = 0; n < platform::call_kind_count; ++n)
+    for (std::size_t n = 0; n < metadata::call_kind_count; ++n)
     {
-        auto const kind = static_cast<platform::call_kind>(n);
-        telemetry::labels const with{{"kind", std::string(platform::name_of(kind))}};
-        to.set_counter("fuchsiaproxy_platform_calls_total", "Calls to the platform.", with,
+        auto const kind = static_cast<metadata::call_kind>(n);
+        telemetry::labels const with{{"kind", std::string(metadata::name_of(kind))}};
+        to.set_counter("fuchsiaproxy_metadata_calls_total", "Calls to the platform.", with,
                        static_cast<double>(it.of(kind).calls.load()));
-        to.set_counter("fuchsiaproxy_platform_failures_total", "Calls to the platform that failed.",
+        to.set_counter("fuchsiaproxy_metadata_failures_total", "Calls to the platform that failed.",
                        with, static_cast<double>(it.of(kind).failures.load()));
     }
-    to.set_counter("fuchsiaproxy_platform_silent_connections_total",
+    to.set_counter("fuchsiaproxy_metadata_silent_connections_total",
                    "Connections to the platform that went silent.", {},
                    static_cast<double>(it.silent_connections.load()));
 }
--- a/src/runtime/metrics_export.hpp
+++ b/src/runtime/metrics_export.hpp
@@ -3,8 +3,8 @@
 
 #include "fuchsiaproxy/callers/server.hpp"
 #include "fuchsiaproxy/engine/engine.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
 #include "fuchsiaproxy/peers/peer_network.hpp"
-#include "fuchsiaproxy/platform/http_clients.hpp"
 #include "fuchsiaproxy/runtime/traffic_loop.hpp"
 #include "fuchsiaproxy/telemetry/metrics.hpp"
 #include "fuchsiaproxy/upstreams/client.hpp"
@@ -20,7 +20,7 @@
 void export_upstreams(upstreams::client_counters const& it, telemetry::metrics& to);
 void export_traffic(traffic_counters const& it, telemetry::metrics& to);
 void export_peers(peers::peer_counts const& it, telemetry::metrics& to);
-void export_platform(platform::platform_counters& it, telemetry::metrics& to);
+void export_platform(metadata::platform_counters& it, telemetry::metrics& to);
 
 } // namespace fuchsiaproxy::runtime
 
--- a/src/runtime/operators_loop.cpp
+++ b/src/runtime/operators_loop.cpp
@@ -73,11 +73,11 @@
 
 operators_loop::operators_loop(boost::asio::io_context& io,
                                settings::daemon_settings const& settings,
-                               std::shared_ptr<platform::platform_counters> const& counters,
+                               std::shared_ptr<metadata::platform_counters> const& counters,
                                std::function<bool(traffic_event)> to_traffic,
                                std::function<std::string()> metrics)
     : to_traffic_(std::move(to_traffic)),
-      store_(platform::make_http_store(
+      store_(metadata::make_http_store(
           io, {settings.platform.store.address, settings.platform.store.port},
           timeouts_of(settings.platform), counters)),
       configurations_(*store_),
--- a/src/runtime/platform_loop.cpp
+++ b/src/runtime/platform_loop.cpp
@@ -18,7 +18,7 @@
 // Pause before an event that a full ring refused is offered again.
 constexpr base::duration report_pause = std::chrono::milliseconds(50);
 
-platform::http_endpoint endpoint_of(model::endpoint const& it)
+metadata::http_endpoint endpoint_of(model::endpoint const& it)
 {
     return {it.address, it.port};
 }
@@ -27,15 +27,15 @@
 
 platform_loop::platform_loop(boost::asio::io_context& io,
                              settings::platform_settings const& settings,
-                             std::shared_ptr<platform::platform_counters> const& counters,
+                             std::shared_ptr<metadata::platform_counters> const& counters,
                              std::function<bool(traffic_event)> to_traffic)
-    : timers_(io), store_(platform::make_http_store(io, endpoint_of(settings.store),
+    : timers_(io), store_(metadata::make_http_store(io, endpoint_of(settings.store),
                                                     timeouts_of(settings), counters)),
-      list_(platform::make_http_instance_list(io, endpoint_of(settings.instances),
+      list_(metadata::make_http_instance_list(io, endpoint_of(settings.instances),
                                               timeouts_of(settings), counters)),
       to_traffic_(std::move(to_traffic)),
       reader_(*store_, timers_,
-              [this](platform::accepted_configuration it) { deliver(std::move(it)); }),
+              [this](metadata::accepted_configuration it) { deliver(std::move(it)); }),
       shares_(*store_)
 {
 }
@@ -120,7 +120,7 @@
                                 [this](base::time_point) { report_stored(false); });
 }
 
-void platform_loop::deliver(platform::accepted_configuration it)
+void platform_loop::deliver(metadata::accepted_configuration it)
 {
     if (!to_traffic_(it))
     {
@@ -136,7 +136,7 @@
     }
     reading_list_ = true;
     list_->read(
-        [this](base::result<std::vector<platform::listed_instance>> answer)
+        [this](base::result<std::vector<metadata::listed_instance>> answer)
         {
             reading_list_ = false;
             if (answer)
--- a/src/runtime/platform_timeouts.hpp
+++ b/src/runtime/platform_timeouts.hpp
@@ -1,16 +1,16 @@
 #ifndef FUCHSIAPROXY_RUNTIME_SRC_PLATFORM_TIMEOUTS_HPP
 #define FUCHSIAPROXY_RUNTIME_SRC_PLATFORM_TIMEOUTS_HPP
 
-#include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
 #include "fuchsiaproxy/settings/daemon_settings.hpp"
 
 namespace fuchsiaproxy::runtime
 {
 
 /// Returns the deadlines of calls to the platform by the settings. Thread safe.
-inline platform::http_timeouts timeouts_of(settings::platform_settings const& it)
+inline metadata::http_timeouts timeouts_of(settings::platform_settings const& it)
 {
-    platform::http_timeouts made;
+    metadata::http_timeouts made;
     made.call = it.call_timeout;
     return made;
 }
--- a/src/runtime/traffic_loop.cpp
+++ b/src/runtime/traffic_loop.cpp
@@ -93,7 +93,7 @@
     engine_.on_peer_unreachable(it.id, timers_.now(), out);
 }
 
-void traffic_loop::handle_one(platform::accepted_configuration& it, engine::engine_actions& out)
+void traffic_loop::handle_one(metadata::accepted_configuration& it, engine::engine_actions& out)
 {
     auto const version = it.value->version;
     if (engine_.on_configuration(it.value, std::move(it.document), timers_.now(), out))
@@ -114,7 +114,7 @@
         {
             entries.push_back({base::instance_id(listed.id), listed.address});
         }
-        else if (listed.state == platform::instance_state::leaving)
+        else if (listed.state == metadata::instance_state::leaving)
         {
             leaving.emplace_back(listed.id);
         }
--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -18,9 +18,9 @@
 
 using base::request_outcome;
 using boost::system::error_code;
+using metadata::http_answer;
+using metadata::http_call_state;
 using nlohmann::json;
-using platform::http_answer;
-using platform::http_call_state;
 
 /// One request of the load with its attempts.
 struct load_request
@@ -49,7 +49,7 @@
 
 request_outcome outcome_of(http_answer const& answer)
 {
-    auto const name = platform::field_of(answer, "Request-Outcome");
+    auto const name = metadata::field_of(answer, "Request-Outcome");
     for (auto const it :
          {request_outcome::run, request_outcome::not_run, request_outcome::already_run})
     {
@@ -191,7 +191,7 @@
 
     void send(request_ptr const& it, std::string const& address, base::duration left)
     {
-        platform::http_call call;
+        metadata::http_call call;
         call.method = it->order ? "POST" : "GET";
         call.target = it->order ? settings_.order_target : settings_.lookup_target;
         call.body = it->body;
--- a/src/standin/entry_directory.cpp
+++ b/src/standin/entry_directory.cpp
@@ -20,22 +20,22 @@
 
 } // namespace
 
-platform::http_client& client_pool::at(std::string const& address)
+metadata::http_client& client_pool::at(std::string const& address)
 {
     auto& it = clients_[address];
     if (!it)
     {
-        platform::http_client_limits limits;
+        metadata::http_client_limits limits;
         limits.max_connections = max_connections_;
         limits.max_queued = max_queued_per_entry;
         it =
-            std::make_unique<platform::http_client>(io_, platform::parse_endpoint(address), limits);
+            std::make_unique<metadata::http_client>(io_, metadata::parse_endpoint(address), limits);
     }
     return *it;
 }
 
 entry_directory::entry_directory(client_pool& pool,
-                                 std::vector<platform::http_endpoint> const& bootstrap,
+                                 std::vector<metadata::http_endpoint> const& bootstrap,
                                  std::string target)
     : pool_(pool), target_(std::move(target))
 {
@@ -81,11 +81,11 @@
     auto const known = entries_.size();
     auto const& address =
         attempt < known ? entries_[attempt].address : bootstrap_[next_++ % bootstrap_.size()];
-    platform::http_call call;
+    metadata::http_call call;
     call.target = target_;
     call.deadline = query_deadline;
     pool_.at(address).start(std::move(call),
-                            [this, attempt, known](platform::http_answer const& answer)
+                            [this, attempt, known](metadata::http_answer const& answer)
                             {
                                 if (take(answer))
                                 {
@@ -103,9 +103,9 @@
                             });
 }
 
-bool entry_directory::take(platform::http_answer const& answer)
+bool entry_directory::take(metadata::http_answer const& answer)
 {
-    if (answer.state != platform::http_call_state::answered || answer.status != 200)
+    if (answer.state != metadata::http_call_state::answered || answer.status != 200)
     {
         return false;
     }
--- a/src/standin/entry_directory.hpp
+++ b/src/standin/entry_directory.hpp
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fuchsiaproxy/base/time.hpp"
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -34,12 +34,12 @@
     }
 
     /// Returns the client of `address`, which has the form "ip:port".
-    platform::http_client& at(std::string const& address);
+    metadata::http_client& at(std::string const& address);
 
 private:
     boost::asio::io_context& io_;
     std::size_t max_connections_;
-    std::map<std::string, std::unique_ptr<platform::http_client>> clients_;
+    std::map<std::string, std::unique_ptr<metadata::http_client>> clients_;
 };
 
 /// Entries to use, as told by any entry and kept for their TTL.
@@ -49,7 +49,7 @@
     using handler = std::function<void(std::vector<usable_entry> const&)>;
 
     /// Precondition: `bootstrap` is not empty; the pool outlives the directory.
-    entry_directory(client_pool& pool, std::vector<platform::http_endpoint> const& bootstrap,
+    entry_directory(client_pool& pool, std::vector<metadata::http_endpoint> const& bootstrap,
                     std::string target);
 
     /// Calls `done` with the entries, empty when none was ever told. May call it at once.
@@ -63,7 +63,7 @@
 
 private:
     void query(std::size_t attempt);
-    bool take(platform::http_answer const& answer);
+    bool take(metadata::http_answer const& answer);
     void answer_waiting();
 
     client_pool& pool_;
--- a/src/standin/http_client_test.cpp
+++ b/src/standin/http_client_test.cpp
@@ -1,4 +1,4 @@
-#include "fuchsiaproxy/platform/http_client.hpp"
+#include "fuchsiaproxy/metadata/http_client.hpp"
 
 #include <memory>
 #include <optional>
@@ -11,7 +11,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace fuchsiaproxy;
-using platform::http_call_state;
+using metadata::http_call_state;
 using std::chrono::milliseconds;
 
 TEST_GROUP(http_client)
@@ -20,25 +20,25 @@
     std::vector<standin::exchange_ptr> exchanges;
     standin::http_server server{
         io, {"127.0.0.1", 0}, [this](auto const&, auto const& it) { exchanges.push_back(it); }};
-    std::vector<platform::http_answer> answers;
+    std::vector<metadata::http_answer> answers;
 
-    std::unique_ptr<platform::http_client> make_client(std::size_t connections, std::size_t queued)
+    std::unique_ptr<metadata::http_client> make_client(std::size_t connections, std::size_t queued)
     {
-        platform::http_client_limits limits;
+        metadata::http_client_limits limits;
         limits.max_connections = connections;
         limits.max_queued = queued;
         limits.max_answer_bytes = 1000;
-        return std::make_unique<platform::http_client>(io, server.endpoint(), limits);
+        return std::make_unique<metadata::http_client>(io, server.endpoint(), limits);
     }
 
-    void start(platform::http_client & client, base::duration deadline = std::chrono::seconds(15),
+    void start(metadata::http_client & client, base::duration deadline = std::chrono::seconds(15),
                std::size_t body_bytes = 0)
     {
-        platform::http_call call;
+        metadata::http_call call;
         call.method = "PUT";
         call.body = std::string(body_bytes, 'x');
         call.deadline = deadline;
-        client.start(call, [this](platform::http_answer it) { answers.push_back(std::move(it)); });
+        client.start(call, [this](metadata::http_answer it) { answers.push_back(std::move(it)); });
     }
 
     void wait_for_answers(std::size_t n)
@@ -94,7 +94,7 @@
 {
     boost::asio::io_context idle;
     standin::http_server const unread(idle, {"127.0.0.1", 0}, [](auto const&, auto const&) {});
-    platform::http_client client(io, unread.endpoint(), {});
+    metadata::http_client client(io, unread.endpoint(), {});
     constexpr std::size_t more_than_socket_buffers = 64'000'000;
     start(client, milliseconds(500), more_than_socket_buffers);
     wait_for_answers(1);
@@ -134,9 +134,9 @@
 // Guards against addresses that are read as something else.
 TEST(http_client, endpoints_are_read_strictly)
 {
-    CHECK_EQUAL(80, platform::parse_endpoint("10.0.0.1:80").port);
+    CHECK_EQUAL(80, metadata::parse_endpoint("10.0.0.1:80").port);
     for (auto const* it : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:x", "10.0.0.1:65536", "1:123456"})
     {
-        CHECK_EQUAL(0, platform::parse_endpoint(it).port);
+        CHECK_EQUAL(0, metadata::parse_endpoint(it).port);
     }
 }
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -19,7 +19,7 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
-using platform::http_field;
+using metadata::http_field;
 
 constexpr std::size_t max_body_bytes = 16'000'000;
 
@@ -326,7 +326,7 @@
 class http_server::impl : public std::enable_shared_from_this<impl>
 {
 public:
-    impl(asio::io_context& io, platform::http_endpoint const& at, handler handle)
+    impl(asio::io_context& io, metadata::http_endpoint const& at, handler handle)
         : acceptor_(io, tcp::endpoint(asio::ip::make_address(at.address), at.port)),
           sessions_(std::make_shared<session_set>())
     {
@@ -380,7 +380,7 @@
         sessions_->handle = [](server_request const&, exchange_ptr const&) {};
     }
 
-    platform::http_endpoint endpoint() const
+    metadata::http_endpoint endpoint() const
     {
         auto const at = acceptor_.local_endpoint();
         return {at.address().to_string(), at.port()};
@@ -402,7 +402,7 @@
     std::size_t limit_ = 0;
 };
 
-http_server::http_server(asio::io_context& io, platform::http_endpoint const& at, handler handle)
+http_server::http_server(asio::io_context& io, metadata::http_endpoint const& at, handler handle)
     : impl_(std::make_shared<impl>(io, at, std::move(handle)))
 {
     impl_->accept();
@@ -413,7 +413,7 @@
     impl_->stop();
 }
 
-platform::http_endpoint http_server::endpoint() const
+metadata::http_endpoint http_server::endpoint() const
 {
     return impl_->endpoint();
 }
--- a/src/standin/http_store_test.cpp
+++ b/src/standin/http_store_test.cpp
@@ -5,21 +5,21 @@
 #include <string>
 
 #include "../testing/asio_runner.hpp"
-#include "fuchsiaproxy/platform/http_clients.hpp"
+#include "fuchsiaproxy/metadata/http_clients.hpp"
 #include "fuchsiaproxy/standin/tcp_relay.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace fuchsiaproxy;
 using base::error_kind;
-using platform::call_kind;
-using platform::key_revision;
+using metadata::call_kind;
+using metadata::key_revision;
 using std::chrono::milliseconds;
 
 namespace
 {
 
-platform::http_endpoint const loopback{"127.0.0.1", 0};
+metadata::http_endpoint const loopback{"127.0.0.1", 0};
 
 /// A store, a relay in front of it and a client that goes through the relay.
 struct store_setup
@@ -27,12 +27,12 @@
     explicit store_setup(standin::store_settings settings = {}) : server(io, loopback, settings)
     {
         relay = std::make_unique<standin::tcp_relay>(io, loopback, server.endpoint());
-        platform::http_timeouts timeouts;
+        metadata::http_timeouts timeouts;
         // Long enough for a call that succeeds on a busy machine.
         timeouts.call = milliseconds(1000);
         timeouts.watch_grace = milliseconds(900);
-        client = platform::make_http_store(io, relay->endpoint(), timeouts, counters);
-        list = platform::make_http_instance_list(io, relay->endpoint(), timeouts, counters);
+        client = metadata::make_http_store(io, relay->endpoint(), timeouts, counters);
+        list = metadata::make_http_instance_list(io, relay->endpoint(), timeouts, counters);
     }
 
     template <class T, class Start>
@@ -47,9 +47,9 @@
         return *out;
     }
 
-    base::result<platform::stored_value> get(std::string const& key)
+    base::result<metadata::stored_value> get(std::string const& key)
     {
-        return wait_for<platform::stored_value>([&](auto done) { client->get(key, done); });
+        return wait_for<metadata::stored_value>([&](auto done) { client->get(key, done); });
     }
 
     base::result<key_revision> swap(std::string const& key, std::uint64_t expected,
@@ -59,15 +59,15 @@
             [&](auto done) { client->compare_and_swap(key, key_revision(expected), value, done); });
     }
 
-    base::result<platform::stored_value> watch(std::string const& key, std::uint64_t known)
+    base::result<metadata::stored_value> watch(std::string const& key, std::uint64_t known)
     {
-        return wait_for<platform::stored_value>(
+        return wait_for<metadata::stored_value>(
             [&](auto done) { client->watch(key, key_revision(known), milliseconds(100), done); });
     }
 
-    base::result<platform::lease_grant> acquire(std::string const& name, std::string const& holder)
+    base::result<metadata::lease_grant> acquire(std::string const& name, std::string const& holder)
     {
-        return wait_for<platform::lease_grant>(
+        return wait_for<metadata::lease_grant>(
             [&](auto done)
             { client->acquire_lease(name, holder, std::chrono::seconds(30), done); });
     }
@@ -75,10 +75,10 @@
     boost::asio::io_context io;
     standin::store_server server;
     std::unique_ptr<standin::tcp_relay> relay;
-    std::shared_ptr<platform::platform_counters> counters =
-        std::make_shared<platform::platform_counters>();
-    std::unique_ptr<platform::store> client;
-    std::unique_ptr<platform::instance_list> list;
+    std::shared_ptr<metadata::platform_counters> counters =
+        std::make_shared<metadata::platform_counters>();
+    std::unique_ptr<metadata::store> client;
+    std::unique_ptr<metadata::instance_list> list;
 };
 
 } // namespace
@@ -104,7 +104,7 @@
 // Guards against a value at the limit that JSON escaping makes too large on the way.
 TEST(http_store, takes_values_up_to_the_limit)
 {
-    std::string const largest(platform::max_value_bytes, '"');
+    std::string const largest(metadata::max_value_bytes, '"');
     CHECK(setup.swap("k", 0, largest).has_value());
     CHECK(*setup.get("k").value().value == largest);
     CHECK(setup.swap("l", 0, largest + "x").error().kind == error_kind::value_too_large);
@@ -116,7 +116,7 @@
 TEST(http_store, watch_answers_at_a_write_and_after_its_wait)
 {
     CHECK(setup.watch("config/head", 0).value().revision == key_revision(0));
-    std::optional<base::result<platform::stored_value>> seen;
+    std::optional<base::result<metadata::stored_value>> seen;
     setup.client->watch("config/head", key_revision(0), std::chrono::seconds(10),
                         [&seen](auto it) { seen = it; });
     CHECK(testing::run_until(setup.io, [&] { return setup.server.waiting_watches() == 1; }));
@@ -218,12 +218,12 @@
 // Guards against a write that is reported as unknown when the store cannot be reached at all.
 TEST(http_store, refused_connection_means_that_nothing_was_written)
 {
-    platform::http_endpoint gone;
+    metadata::http_endpoint gone;
     {
         standin::store_server const other(setup.io, loopback);
         gone = other.endpoint();
     }
-    setup.client = platform::make_http_store(setup.io, gone);
+    setup.client = metadata::make_http_store(setup.io, gone);
     CHECK(setup.swap("k", 0, "v").error().kind == error_kind::store_unavailable);
 }
 
@@ -244,10 +244,10 @@
     setup.server.set_stale_reads(std::chrono::hours(1));
     setup.server.set_list_lag(std::chrono::hours(1));
     CHECK(setup.swap("k", 0, "v").has_value());
-    setup.server.put_instance({"u1", "upstream", "127.0.0.1:1", platform::instance_state::leaving});
+    setup.server.put_instance({"u1", "upstream", "127.0.0.1:1", metadata::instance_state::leaving});
     auto const read_list = [&]
     {
-        return setup.wait_for<std::vector<platform::listed_instance>>([&](auto done)
+        return setup.wait_for<std::vector<metadata::listed_instance>>([&](auto done)
                                                                       { setup.list->read(done); });
     };
     CHECK(!setup.get("k").value().value.has_value());
@@ -257,7 +257,7 @@
     CHECK(setup.get("k").value().value.has_value());
     auto const list = read_list();
     CHECK_EQUAL(1U, list.value().size());
-    CHECK(list.value()[0].state == platform::instance_state::leaving);
+    CHECK(list.value()[0].state == metadata::instance_state::leaving);
     CHECK_EQUAL(std::string("127.0.0.1:1"), list.value()[0].address);
 }
 
@@ -270,7 +270,7 @@
                                    [&called](auto) { called = true; });
     setup.client.reset();
     CHECK(setup
-              .wait_for<std::vector<platform::listed_instance>>([&](auto done)
+              .wait_for<std::vector<metadata::listed_instance>>([&](auto done)
                                                                 { setup.list->read(done); })
               .has_value());
     CHECK(!called);
--- a/src/standin/store.cpp
+++ b/src/standin/store.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "clock.hpp"
-#include "fuchsiaproxy/platform/store.hpp"
+#include "fuchsiaproxy/metadata/store.hpp"
 #include "fuchsiaproxy/standin/http_server.hpp"
 #include "store_state.hpp"
 
@@ -40,9 +40,9 @@
     return {{"revision", it.revision}, {"value", it.revision == 0 ? json() : json(it.value)}};
 }
 
-json to_json(platform::listed_instance const& it)
+json to_json(metadata::listed_instance const& it)
 {
-    bool const leaving = it.state == platform::instance_state::leaving;
+    bool const leaving = it.state == metadata::instance_state::leaving;
     return {{"id", it.id},
             {"role", it.role},
             {"address", it.address},
@@ -76,7 +76,7 @@
 class store_server::impl
 {
 public:
-    impl(boost::asio::io_context& io, platform::http_endpoint const& at, store_settings settings)
+    impl(boost::asio::io_context& io, metadata::http_endpoint const& at, store_settings settings)
         : io_(io), settings_(settings), writes_(settings.writes_per_second),
           reads_(settings.reads_per_second),
           server_(io, at,
@@ -90,7 +90,7 @@
         *alive_ = false;
     }
 
-    platform::http_endpoint endpoint() const
+    metadata::http_endpoint endpoint() const
     {
         return server_.endpoint();
     }
@@ -342,7 +342,7 @@
         auto const key = after(request.path, keys_prefix);
         auto const body = json::parse(request.body);
         auto value = body.at("value").get<std::string>();
-        if (value.size() > platform::max_value_bytes)
+        if (value.size() > metadata::max_value_bytes)
         {
             answer(exchange, 413, {{"error", "value too large"}});
             return;
@@ -406,12 +406,12 @@
         else
         {
             auto const body = json::parse(request.body);
-            platform::listed_instance it;
+            metadata::listed_instance it;
             it.id = id;
             it.role = body.at("role").get<std::string>();
             it.address = body.at("address").get<std::string>();
-            it.state = body.value("state", "live") == "leaving" ? platform::instance_state::leaving
-                                                                : platform::instance_state::live;
+            it.state = body.value("state", "live") == "leaving" ? metadata::instance_state::leaving
+                                                                : metadata::instance_state::live;
             state_.put_instance(std::move(it), now());
         }
         exchange->answer(200, "{}");
@@ -492,7 +492,7 @@
     http_server server_;
 };
 
-store_server::store_server(boost::asio::io_context& io, platform::http_endpoint const& at,
+store_server::store_server(boost::asio::io_context& io, metadata::http_endpoint const& at,
                            store_settings settings)
     : impl_(std::make_unique<impl>(io, at, settings))
 {
@@ -500,7 +500,7 @@
 
 store_server::~store_server() = default;
 
-platform::http_endpoint store_server::endpoint() const
+metadata::http_endpoint store_server::endpoint() const
 {
     return impl_->endpoint();
 }
@@ -545,7 +545,7 @@
     impl_->settings().list_lag = age;
 }
 
-void store_server::put_instance(platform::listed_instance instance)
+void store_server::put_instance(metadata::listed_instance instance)
 {
     impl_->state().put_instance(std::move(instance), now());
 }
--- a/src/standin/store_state.cpp
+++ b/src/standin/store_state.cpp
@@ -67,7 +67,7 @@
     leases_.erase(name);
 }
 
-void store_state::put_instance(platform::listed_instance instance, base::time_point now)
+void store_state::put_instance(metadata::listed_instance instance, base::time_point now)
 {
     auto list = instances_.latest();
     auto const same = [&instance](auto const& it) { return it.id == instance.id; };
@@ -84,7 +84,7 @@
     instances_.record(now, std::move(list));
 }
 
-std::vector<platform::listed_instance> const& store_state::instances(base::time_point at) const
+std::vector<metadata::listed_instance> const& store_state::instances(base::time_point at) const
 {
     return instances_.at(at);
 }
--- a/src/standin/store_state.hpp
+++ b/src/standin/store_state.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "fuchsiaproxy/base/time.hpp"
-#include "fuchsiaproxy/platform/instance_list.hpp"
+#include "fuchsiaproxy/metadata/instance_list.hpp"
 
 namespace fuchsiaproxy::standin
 {
@@ -99,16 +99,16 @@
     void lapse(std::string const& name);
 
     /// Adds, replaces or removes instances.
-    void put_instance(platform::listed_instance instance, base::time_point now);
+    void put_instance(metadata::listed_instance instance, base::time_point now);
     void remove_instance(std::string const& id, base::time_point now);
 
     /// Returns the instances as listed at `at`.
-    std::vector<platform::listed_instance> const& instances(base::time_point at) const;
+    std::vector<metadata::listed_instance> const& instances(base::time_point at) const;
 
 private:
     std::map<std::string, value_history<revised_value>> keys_;
     std::map<std::string, lease_state> leases_;
-    value_history<std::vector<platform::listed_instance>> instances_;
+    value_history<std::vector<metadata::listed_instance>> instances_;
     std::uint64_t revision_ = 0;
     std::uint64_t token_ = 0;
 };
--- a/src/standin/tcp_relay.cpp
+++ b/src/standin/tcp_relay.cpp
@@ -122,8 +122,8 @@
 class tcp_relay::impl : public std::enable_shared_from_this<impl>
 {
 public:
-    impl(asio::io_context& io, platform::http_endpoint const& at,
-         platform::http_endpoint const& server)
+    impl(asio::io_context& io, metadata::http_endpoint const& at,
+         metadata::http_endpoint const& server)
         : acceptor_(io, tcp::endpoint(asio::ip::make_address(at.address), at.port)),
           server_(asio::ip::make_address(server.address), server.port)
     {
@@ -170,7 +170,7 @@
         close_connections();
     }
 
-    platform::http_endpoint endpoint() const
+    metadata::http_endpoint endpoint() const
     {
         auto const at = acceptor_.local_endpoint();
         return {at.address().to_string(), at.port()};
@@ -199,8 +199,8 @@
     std::set<std::shared_ptr<relay_connection>> connections_;
 };
 
-tcp_relay::tcp_relay(asio::io_context& io, platform::http_endpoint const& at,
-                     platform::http_endpoint const& server)
+tcp_relay::tcp_relay(asio::io_context& io, metadata::http_endpoint const& at,
+                     metadata::http_endpoint const& server)
     : impl_(std::make_shared<impl>(io, at, server))
 {
     impl_->accept();
@@ -211,7 +211,7 @@
     impl_->stop();
 }
 
-platform::http_endpoint tcp_relay::endpoint() const
+metadata::http_endpoint tcp_relay::endpoint() const
 {
     return impl_->endpoint();
 }
@@ -244,8 +244,8 @@
 class relay_server::impl
 {
 public:
-    impl(asio::io_context& io, platform::http_endpoint const& at,
-         platform::http_endpoint const& server, platform::http_endpoint const& control_at)
+    impl(asio::io_context& io, metadata::http_endpoint const& at,
+         metadata::http_endpoint const& server, metadata::http_endpoint const& control_at)
         : relay_(io, at, server),
           control_(io, control_at,
                    [this](server_request const& request, exchange_ptr const& it)
@@ -253,12 +253,12 @@
     {
     }
 
-    platform::http_endpoint endpoint() const
+    metadata::http_endpoint endpoint() const
     {
         return relay_.endpoint();
     }
 
-    platform::http_endpoint control_endpoint() const
+    metadata::http_endpoint control_endpoint() const
     {
         return control_.endpoint();
     }
@@ -303,21 +303,21 @@
     http_server control_;
 };
 
-relay_server::relay_server(asio::io_context& io, platform::http_endpoint const& at,
-                           platform::http_endpoint const& server,
-                           platform::http_endpoint const& control_at)
+relay_server::relay_server(asio::io_context& io, metadata::http_endpoint const& at,
+                           metadata::http_endpoint const& server,
+                           metadata::http_endpoint const& control_at)
     : impl_(std::make_unique<impl>(io, at, server, control_at))
 {
 }
 
 relay_server::~relay_server() = default;
 
-platform::http_endpoint relay_server::endpoint() const
+metadata::http_endpoint relay_server::endpoint() const
 {
     return impl_->endpoint();
 }
 
-platform::http_endpoint relay_server::control_endpoint() const
+metadata::http_endpoint relay_server::control_endpoint() const
 {
     return impl_->control_endpoint();
 }
--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -43,7 +43,7 @@
 class upstream_server::impl
 {
 public:
-    impl(boost::asio::io_context& io, platform::http_endpoint const& at, std::string id,
+    impl(boost::asio::io_context& io, metadata::http_endpoint const& at, std::string id,
          upstream_settings settings, std::uint64_t seed, std::shared_ptr<run_journal> journal)
         : io_(io), id_(std::move(id)), settings_(settings), times_(seed),
           journal_(std::move(journal)),
@@ -59,7 +59,7 @@
         *alive_ = false;
     }
 
-    platform::http_endpoint endpoint() const
+    metadata::http_endpoint endpoint() const
     {
         return server_.endpoint();
     }
@@ -157,7 +157,7 @@
 
     void shed(server_exchange& exchange, std::string const& reason)
     {
-        std::vector<platform::http_field> fields{{"Shed", "1"}};
+        std::vector<metadata::http_field> fields{{"Shed", "1"}};
         if (settings_.draining)
         {
             fields.push_back({"Draining", "1"});
@@ -247,7 +247,7 @@
             body["padding"] = std::string(settings_.answer_bytes - text.size(), '.');
             text = body.dump();
         }
-        std::vector<platform::http_field> fields;
+        std::vector<metadata::http_field> fields;
         if (settings_.draining)
         {
             fields.push_back({"Connection", "close"});
@@ -354,7 +354,7 @@
     http_server server_;
 };
 
-upstream_server::upstream_server(boost::asio::io_context& io, platform::http_endpoint const& at,
+upstream_server::upstream_server(boost::asio::io_context& io, metadata::http_endpoint const& at,
                                  std::string id, upstream_settings settings, std::uint64_t seed,
                                  std::shared_ptr<run_journal> journal)
     : impl_(std::make_unique<impl>(io, at, std::move(id), settings, seed, std::move(journal)))
@@ -363,7 +363,7 @@
 
 upstream_server::~upstream_server() = default;
 
-platform::http_endpoint upstream_server::endpoint() const
+metadata::http_endpoint upstream_server::endpoint() const
 {
     return impl_->endpoint();
 }
--- a/src/standin/upstream_test.cpp
+++ b/src/standin/upstream_test.cpp
@@ -30,9 +30,9 @@
     return out;
 }
 
-platform::http_call work(std::string const& id, std::string const& deadline = {})
+metadata::http_call work(std::string const& id, std::string const& deadline = {})
 {
-    platform::http_call out;
+    metadata::http_call out;
     out.method = "POST";
     out.target = "/orders";
     out.fields.push_back({"Request-Id", id});
@@ -44,9 +44,9 @@
     return out;
 }
 
-platform::http_call control(std::string const& method, std::string const& target)
+metadata::http_call control(std::string const& method, std::string const& target)
 {
-    platform::http_call out;
+    metadata::http_call out;
     out.method = method;
     out.target = target;
     return out;
@@ -59,11 +59,11 @@
     boost::asio::io_context io;
     std::shared_ptr<standin::run_journal> journal = std::make_shared<standin::run_journal>();
     standin::upstream_server server{io, {"127.0.0.1", 0}, "u1", one_slot(), seed, journal};
-    std::vector<std::unique_ptr<platform::http_client>> clients;
-    std::vector<std::shared_ptr<platform::http_answer>> answers;
+    std::vector<std::unique_ptr<metadata::http_client>> clients;
+    std::vector<std::shared_ptr<metadata::http_answer>> answers;
 
     /// Starts the request id-1, which runs until it is released.
-    std::shared_ptr<platform::http_answer> start_held()
+    std::shared_ptr<metadata::http_answer> start_held()
     {
         server.settings().hold = true;
         auto answer = start(work("id-1"));
@@ -78,19 +78,19 @@
     }
 
     /// Starts a call on a connection of its own and returns the place of its answer.
-    std::shared_ptr<platform::http_answer> start(platform::http_call call)
+    std::shared_ptr<metadata::http_answer> start(metadata::http_call call)
     {
-        clients.push_back(std::make_unique<platform::http_client>(io, server.endpoint(),
-                                                                  platform::http_client_limits()));
-        auto answer = std::make_shared<platform::http_answer>();
+        clients.push_back(std::make_unique<metadata::http_client>(io, server.endpoint(),
+                                                                  metadata::http_client_limits()));
+        auto answer = std::make_shared<metadata::http_answer>();
         answer->failure = "waiting";
         clients.back()->start(std::move(call),
-                              [answer](platform::http_answer it) { *answer = std::move(it); });
+                              [answer](metadata::http_answer it) { *answer = std::move(it); });
         answers.push_back(answer);
         return answer;
     }
 
-    platform::http_answer finish(std::shared_ptr<platform::http_answer> const& it)
+    metadata::http_answer finish(std::shared_ptr<metadata::http_answer> const& it)
     {
         CHECK(testing::run_until(io, [&it] { return it->failure != "waiting"; }));
         return *it;
@@ -123,7 +123,7 @@
     wait_for_running(1, 1);
     auto const third = finish(start(work("id-3")));
     CHECK_EQUAL(503U, third.status);
-    CHECK_EQUAL(std::string("1"), platform::field_of(third, "shed"));
+    CHECK_EQUAL(std::string("1"), metadata::field_of(third, "shed"));
     release();
     CHECK_EQUAL(200U, finish(second).status);
     CHECK_EQUAL(1U, server.counts().most_running);
@@ -199,7 +199,7 @@
     CHECK_EQUAL(200U, finish(start(control("GET", "/health"))).status);
     auto const refused = finish(start(work("id-1")));
     CHECK_EQUAL(503U, refused.status);
-    CHECK_EQUAL(std::string("1"), platform::field_of(refused, "draining"));
+    CHECK_EQUAL(std::string("1"), metadata::field_of(refused, "draining"));
     set.body = R"({"slots":9,"sloths":1})";
     CHECK_EQUAL(400U, finish(start(set)).status);
     CHECK_EQUAL(1U, server.settings().slots);
--- /dev/null
+++ b/src/steering/director_control.cpp
@@ -0,0 +1,83 @@
+// The side of the director that faces the control plane.
+#include <utility>
+
+#include "director_state.hpp"
+
+namespace fuchsiaproxy::steering
+{
+
+void director::state::adopt(std::shared_ptr<configuration const> const& offered,
+                            director_actions& out)
+{
+    if (config && offered->version <= config->version)
+    {
+        counters.stale_configurations += offered->version < config->version ? 1 : 0;
+        return;
+    }
+    config = offered;
+    routes = route_index(config->routes);
+    split_credit.clear();
+    out.push_back(limits_changed{config->limits});
+}
+
+void director::state::report_left(director_actions& out)
+{
+    for (auto& it : upstreams.take_left())
+    {
+        out.push_back(upstream_left{std::move(it)});
+    }
+}
+
+void director::on_control(control_event const& event, base::time_point now, director_actions& out)
+{
+    auto& my = *state_;
+    struct visitor
+    {
+        state& my;
+        base::time_point now;
+        director_actions& out;
+
+        void operator()(upstreams_listed const& it) const
+        {
+            my.upstreams.list(it.all, now);
+        }
+        void operator()(upstream_changed const& it) const
+        {
+            my.upstreams.change(it.it, now);
+        }
+        void operator()(upstream_removed const& it) const
+        {
+            my.upstreams.remove(it.id, now);
+        }
+        void operator()(entries_listed const& it) const
+        {
+            my.entries.list(it.all, now);
+        }
+        void operator()(entry_changed const& it) const
+        {
+            my.entries.change(it.it);
+        }
+        void operator()(entry_removed const& it) const
+        {
+            my.entries.remove(it.id, now);
+        }
+        void operator()(zones_evacuated const& it) const
+        {
+            static std::unordered_map<base::service_id, service> const none;
+            my.upstreams.evacuate(it.zones, my.config ? my.config->services : none, now);
+        }
+        void operator()(configuration_accepted const& it) const
+        {
+            my.adopt(it.it, out);
+        }
+        void operator()(store_reachability const& it) const
+        {
+            my.upstreams.store_reachable(it.reachable, now);
+            my.entries.store_reachable(it.reachable, now);
+        }
+    };
+    std::visit(visitor{my, now, out}, event);
+    my.report_left(out);
+}
+
+} // namespace fuchsiaproxy::steering
--- /dev/null
+++ b/src/steering/entry_view.cpp
@@ -0,0 +1,150 @@
+#include "entry_view.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "hashing.hpp"
+
+namespace fuchsiaproxy::steering
+{
+
+entry_view::entry_view(director_identity const& self, base::duration lapse_grace)
+    : self_(self), lapse_grace_(lapse_grace)
+{
+}
+
+bool entry_view::may_have_lapsed(base::time_point now) const
+{
+    return !reachable_ ||
+           (regained_at_ != base::time_point::min() && now < regained_at_ + lapse_grace_);
+}
+
+void entry_view::list(std::vector<entry_record> const& all, base::time_point now)
+{
+    std::set<base::instance_id> listed;
+    for (auto const& it : all)
+    {
+        listed.insert(it.id);
+        change(it);
+    }
+    std::vector<base::instance_id> missing;
+    for (auto const& it : all_)
+    {
+        if (listed.count(it.first) == 0)
+        {
+            missing.push_back(it.first);
+        }
+    }
+    for (auto const& it : missing)
+    {
+        remove(it, now);
+    }
+}
+
+void entry_view::change(entry_record const& it)
+{
+    all_[it.id] = known_entry{it, hash_of(it.id.value()), std::nullopt};
+}
+
+void entry_view::remove(base::instance_id const& id, base::time_point now)
+{
+    auto const found = all_.find(id);
+    if (found == all_.end())
+    {
+        return;
+    }
+    if (!may_have_lapsed(now))
+    {
+        all_.erase(found);
+        return;
+    }
+    auto const back_by = (reachable_ ? regained_at_ : now) + lapse_grace_;
+    found->second.gone_at = found->second.gone_at.value_or(back_by);
+}
+
+void entry_view::store_reachable(bool reachable, base::time_point now)
+{
+    if (reachable && !reachable_)
+    {
+        regained_at_ = now;
+        for (auto& it : all_)
+        {
+            if (it.second.gone_at)
+            {
+                it.second.gone_at = now + lapse_grace_;
+            }
+        }
+    }
+    reachable_ = reachable;
+}
+
+void entry_view::tick(base::time_point now)
+{
+    for (auto it = all_.begin(); reachable_ && it != all_.end();)
+    {
+        auto const due = it->second.gone_at && now >= *it->second.gone_at;
+        it = due ? all_.erase(it) : std::next(it);
+    }
+}
+
+base::time_point entry_view::next_wakeup() const
+{
+    auto first = base::time_point::max();
+    for (auto const& it : all_)
+    {
+        first = reachable_ ? std::min(first, it.second.gone_at.value_or(first)) : first;
+    }
+    return first;
+}
+
+std::size_t entry_view::size() const
+{
+    return all_.size() + (all_.count(self_.id) == 0 ? 1 : 0);
+}
+
+std::size_t entry_view::rank_of_self(std::uint64_t key) const
+{
+    auto const own = weight_of(key, hash_of(self_.id.value()));
+    return static_cast<std::size_t>(std::count_if(all_.begin(), all_.end(),
+                                                  [&](auto const& it) {
+                                                      return it.first != self_.id &&
+                                                             weight_of(key, it.second.hash) > own;
+                                                  }));
+}
+
+std::map<base::region_id, double> entry_view::regions() const
+{
+    std::set<base::availability_zone_id> zones{self_.zone};
+    for (auto const& it : all_)
+    {
+        zones.insert(it.second.record.zone);
+    }
+    std::map<base::region_id, double> made;
+    for (auto const& it : zones)
+    {
+        auto const region = self_.zones.find(it);
+        if (region != self_.zones.end())
+        {
+            made[region->second] += 1;
+        }
+    }
+    return made;
+}
+
+std::vector<std::string> entry_view::addresses_for(base::availability_zone_id const& zone,
+                                                   std::size_t most) const
+{
+    auto const home = self_.zones.find(zone);
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (auto const& it : all_)
+    {
+        auto const is_near = home != self_.zones.end() && it.second.record.region == home->second;
+        (is_near ? near : far).push_back(it.second.record.address);
+    }
+    auto& chosen = near.empty() ? far : near;
+    chosen.resize(std::min(chosen.size(), most));
+    return chosen;
+}
+
+} // namespace fuchsiaproxy::steering
--- /dev/null
+++ b/src/steering/entry_view.hpp
@@ -0,0 +1,72 @@
+#ifndef FUCHSIAPROXY_STEERING_ENTRY_VIEW_HPP
+#define FUCHSIAPROXY_STEERING_ENTRY_VIEW_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fuchsiaproxy/steering/director.hpp"
+#include "fuchsiaproxy/steering/records.hpp"
+
+namespace fuchsiaproxy::steering
+{
+
+/// The live entries, as their leases in the store show them. An entry whose lease ended while the
+/// store was away is kept for a grace period, like the records of upstreams.
+///
+/// Thread safety: none.
+class entry_view
+{
+public:
+    /// `self` must outlive the view.
+    entry_view(director_identity const& self, base::duration lapse_grace);
+
+    void list(std::vector<entry_record> const& all, base::time_point now);
+    void change(entry_record const& it);
+    void remove(base::instance_id const& id, base::time_point now);
+    void store_reachable(bool reachable, base::time_point now);
+    void tick(base::time_point now);
+    /// Returns when `tick` has to be called; the largest time if never.
+    base::time_point next_wakeup() const;
+
+    base::region_id const& own_region() const
+    {
+        return self_.region;
+    }
+
+    /// Returns the number of live entries, this one included.
+    std::size_t size() const;
+
+    /// Returns the position of this entry among the live entries by their weight for `key`.
+    std::size_t rank_of_self(std::uint64_t key) const;
+
+    /// Returns the regions that have live entries, with the number of their zones that have some.
+    std::map<base::region_id, double> regions() const;
+
+    /// Returns up to `most` addresses for callers in `zone`: those of its region, or of all regions
+    /// when it has none.
+    std::vector<std::string> addresses_for(base::availability_zone_id const& zone,
+                                           std::size_t most) const;
+
+private:
+    struct known_entry
+    {
+        entry_record record;
+        std::uint64_t hash = 0;
+        std::optional<base::time_point> gone_at;
+    };
+
+    bool may_have_lapsed(base::time_point now) const;
+
+    director_identity const& self_;
+    base::duration lapse_grace_;
+    std::map<base::instance_id, known_entry> all_;
+    bool reachable_ = true;
+    base::time_point regained_at_ = base::time_point::min();
+};
+
+} // namespace fuchsiaproxy::steering
+
+#endif
--- /dev/null
+++ b/src/steering/object_order.cpp
@@ -0,0 +1,101 @@
+#include "object_order.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fuchsiaproxy::steering
+{
+namespace
+{
+
+// Weight of a region without a share: its upstreams come last, in a stable order.
+constexpr double least_share = 1e-3;
+
+double sum_of(std::map<base::region_id, double> const& all)
+{
+    double sum = 0;
+    for (auto const& it : all)
+    {
+        sum += it.second;
+    }
+    return sum;
+}
+
+/// Uniform number in (0, 1) from a hash.
+double unit(std::uint64_t hash)
+{
+    constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
+    return (static_cast<double>(hash >> 11U) + 0.5) * scale;
+}
+
+} // namespace
+
+region_shares shares_of(base::region_id const& home,
+                        std::map<base::region_id, double> const& callers,
+                        std::map<base::region_id, double> const& capacity)
+{
+    region_shares made;
+    auto const total = sum_of(capacity);
+    auto const demand = sum_of(callers);
+    auto const own = callers.find(home);
+    if (total <= 0 || demand <= 0 || own == callers.end())
+    {
+        for (auto const& it : capacity)
+        {
+            made[it.first] = total > 0 ? it.second / total : 0;
+        }
+        return made;
+    }
+    auto const wanted = own->second / demand * total;
+    std::map<base::region_id, double> left;
+    for (auto const& it : capacity)
+    {
+        auto const local = callers.find(it.first);
+        auto const needed = local == callers.end() ? 0 : local->second / demand * total;
+        left[it.first] = std::max(0.0, it.second - needed);
+    }
+    auto const at_home = capacity.count(home) == 0 ? 0 : std::min(capacity.at(home), wanted);
+    auto const spare = sum_of(left);
+    for (auto const& it : left)
+    {
+        made[it.first] = spare > 0 ? (wanted - at_home) * it.second / spare / wanted : 0;
+    }
+    made[home] += at_home / wanted;
+    return made;
+}
+
+std::vector<std::size_t> const& object_order::rank(std::vector<upstream_ptr> const& from,
+                                                   std::uint64_t object,
+                                                   region_shares const& shares)
+{
+    ranks_.assign(from.size(), told_ranks);
+    scored_.clear();
+    std::map<base::region_id, double> slots;
+    for (auto const& it : from)
+    {
+        slots[it->region] += it->takes_new_work() ? it->record.slots : 0;
+    }
+    for (std::size_t n = 0; n < from.size(); ++n)
+    {
+        auto const& it = *from[n];
+        if (!it.takes_new_work())
+        {
+            continue;
+        }
+        auto const share = shares.find(it.region);
+        auto const weight = (share == shares.end() ? 0 : share->second) + least_share;
+        auto const part = weight * it.record.slots / slots[it.region];
+        scored_.push_back({-std::log(unit(weight_of(object, it.hash))) / part, n});
+    }
+    auto const told = std::min(told_ranks, scored_.size());
+    std::partial_sort(scored_.begin(), scored_.begin() + static_cast<std::ptrdiff_t>(told),
+                      scored_.end(),
+                      [](scored const& a, scored const& b) { return a.score < b.score; });
+    for (std::size_t n = 0; n < told; ++n)
+    {
+        ranks_[scored_[n].index] = n;
+    }
+    return ranks_;
+}
+
+} // namespace fuchsiaproxy::steering
--- /dev/null
+++ b/src/steering/selector.cpp
@@ -0,0 +1,137 @@
+#include "selector.hpp"
+
+#include <algorithm>
+
+namespace fuchsiaproxy::steering
+{
+namespace
+{
+
+double seconds(base::duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+bool allows(route const& it, base::region_id const& region)
+{
+    auto const& allowed = it.allowed_regions;
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
+} // namespace
+
+selector::selector(director_settings const& settings, entry_view const& entries,
+                   trip_times const& trips, std::uint64_t seed)
+    : settings_(settings), entries_(entries), trips_(trips), random_(seed)
+{
+}
+
+bool selector::may_send_cold(upstream_state const& it, service const& declared,
+                             base::time_point now) const
+{
+    if (now < it.next_cold_send)
+    {
+        return false;
+    }
+    return declared.cold_requests_per_s <= 0 ||
+           entries_.rank_of_self(it.hash) < settings_.cold_senders;
+}
+
+void selector::note_cold_send(upstream_state& it, service const& declared,
+                              base::time_point now) const
+{
+    if (declared.cold_requests_per_s <= 0)
+    {
+        return;
+    }
+    auto const rate = declared.cold_requests_per_s * settings_.cold_use /
+                      static_cast<double>(settings_.cold_senders);
+    auto const gap = std::chrono::duration<double>(1 / rate);
+    it.next_cold_send = now + std::chrono::duration_cast<base::duration>(gap);
+}
+
+bool selector::may_take(upstream_state const& it, selection_query const& query,
+                        base::time_point now) const
+{
+    if (!it.takes_new_work() || now < it.suspended_until)
+    {
+        return false;
+    }
+    if (it.connect_failures > 0 && it.in_flight > 0)
+    {
+        return false; // One request at a time shows whether it is back.
+    }
+    if (!allows(*query.of, it.region))
+    {
+        return false;
+    }
+    auto const load = it.in_flight + it.foreign(now, settings_.report_memory);
+    if (load >= it.record.slots * settings_.most_per_slot)
+    {
+        return false;
+    }
+    if (it.is_cold(now) && !may_send_cold(it, *query.declared, now))
+    {
+        return false;
+    }
+    auto const& tried = *query.tried;
+    return std::none_of(tried.begin(), tried.end(),
+                        [&](upstream_ptr const& one) { return one.get() == &it; });
+}
+
+region_shares selector::shares(std::vector<upstream_ptr> const& from) const
+{
+    std::map<base::region_id, double> capacity;
+    for (auto const& it : from)
+    {
+        if (it->takes_new_work())
+        {
+            capacity[it->region] += it->record.slots;
+        }
+    }
+    return shares_of(entries_.own_region(), entries_.regions(), capacity);
+}
+
+double selector::cost(upstream_state const& it, selection_query const& query, std::size_t rank,
+                      base::time_point now)
+{
+    auto const memory = settings_.report_memory;
+    auto const slots = static_cast<double>(std::max(1U, it.record.slots));
+    auto const load = it.in_flight + it.foreign(now, memory);
+    // Below full slots the wait is small but grows with the load, which spreads requests.
+    auto const ahead = std::max(0.0, load + 1 - slots);
+    auto const wait =
+        query.work->typical() * (ahead / slots + settings_.load_aversion * load / slots);
+    auto const slowdown =
+        it.slowdown(now, memory) * (it.is_cold(now) ? settings_.cold_slowdown : 1);
+    auto const base = seconds(trips_.to(it.record.zone)) + wait + query.work->at(rank) * slowdown;
+    auto const goal = seconds(query.of->latency_goal);
+    std::uniform_real_distribution<double> spread(1, 1 + settings_.cost_spread);
+    return (base + it.failure_rate * settings_.failure_cost * goal) * spread(random_);
+}
+
+selection selector::pick(std::vector<upstream_ptr> const& from, selection_query const& query,
+                         base::time_point now)
+{
+    auto const has_object = query.of->affinity && query.object != 0;
+    std::vector<std::size_t> const* const ranks =
+        has_object ? &order_.rank(from, query.object, shares(from)) : nullptr;
+    selection best;
+    for (std::size_t n = 0; n < from.size(); ++n)
+    {
+        auto const& it = from[n];
+        if (!may_take(*it, query, now))
+        {
+            continue;
+        }
+        auto const rank = ranks == nullptr ? 0 : (*ranks)[n];
+        auto const expected = cost(*it, query, rank, now);
+        if (!best.upstream || expected < best.expected)
+        {
+            best = selection{it, rank, expected};
+        }
+    }
+    return best;
+}
+
+} // namespace fuchsiaproxy::steering
--- /dev/null
+++ b/src/steering/trip_times.hpp
@@ -0,0 +1,58 @@
+#ifndef FUCHSIAPROXY_STEERING_TRIP_TIMES_HPP
+#define FUCHSIAPROXY_STEERING_TRIP_TIMES_HPP
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/steering/director.hpp"
+
+namespace fuchsiaproxy::steering
+{
+
+/// Round-trip times to the zones, learned from the time that connections take.
+///
+/// Thread safety: none.
+class trip_times
+{
+public:
+    /// `settings` and `self` must outlive the object.
+    trip_times(director_settings const& settings, director_identity const& self)
+        : settings_(settings), self_(self)
+    {
+    }
+
+    base::duration to(base::availability_zone_id const& zone) const
+    {
+        auto const it = measured_.find(zone);
+        return it == measured_.end() ? assumed(zone) : it->second;
+    }
+
+    /// Takes the time of one connection. The smallest counts: what is above it is queueing.
+    void take(base::availability_zone_id const& zone, base::duration connect_time)
+    {
+        auto const it = measured_.emplace(zone, connect_time).first;
+        it->second = std::min(it->second, connect_time);
+    }
+
+private:
+    base::duration assumed(base::availability_zone_id const& zone) const
+    {
+        if (zone == self_.zone)
+        {
+            return settings_.assumed_zone_trip;
+        }
+        auto const it = self_.zones.find(zone);
+        auto const near = it != self_.zones.end() && it->second == self_.region;
+        return near ? settings_.assumed_region_trip : settings_.assumed_far_trip;
+    }
+
+    director_settings const& settings_;
+    director_identity const& self_;
+    std::unordered_map<base::availability_zone_id, base::duration> measured_;
+};
+
+} // namespace fuchsiaproxy::steering
+
+#endif
--- /dev/null
+++ b/src/steering/upstream_table.cpp
@@ -0,0 +1,191 @@
+#include "upstream_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaproxy::steering
+{
+
+upstream_table::upstream_table(std::map<base::availability_zone_id, base::region_id> const& zones,
+                               base::duration lapse_grace)
+    : zones_(zones), lapse_grace_(lapse_grace)
+{
+}
+
+base::region_id upstream_table::region_of(base::availability_zone_id const& zone) const
+{
+    auto const it = zones_.find(zone);
+    return it == zones_.end() ? base::region_id() : it->second;
+}
+
+bool upstream_table::may_have_lapsed(base::time_point now) const
+{
+    return !reachable_ ||
+           (regained_at_ != base::time_point::min() && now < regained_at_ + lapse_grace_);
+}
+
+void upstream_table::list(std::vector<upstream_record> const& all, base::time_point now)
+{
+    std::set<base::upstream_id> listed;
+    for (auto const& it : all)
+    {
+        listed.insert(it.id);
+        change(it, now);
+    }
+    std::vector<base::upstream_id> missing;
+    for (auto const& it : all_)
+    {
+        if (listed.count(it.first) == 0)
+        {
+            missing.push_back(it.first);
+        }
+    }
+    for (auto const& it : missing)
+    {
+        remove(it, now);
+    }
+}
+
+void upstream_table::change(upstream_record const& it, base::time_point now)
+{
+    auto const found = all_.find(it.id);
+    if (found == all_.end())
+    {
+        insert(it, now);
+        return;
+    }
+    auto& known = *found->second;
+    auto const same_lifetime = known.record.started_at_ms == it.started_at_ms &&
+                               known.record.at.address == it.at.address &&
+                               known.record.at.port == it.at.port &&
+                               known.record.service == it.service;
+    if (!same_lifetime)
+    {
+        erase(found);
+        insert(it, now);
+        return;
+    }
+    auto const starts_to_drain = it.draining && !known.record.draining;
+    known.record = it;
+    known.gone_at.reset();
+    known.cold_until = std::max(known.cold_until, now + it.cold_for);
+    if (starts_to_drain)
+    {
+        left_.push_back(it.at);
+    }
+}
+
+void upstream_table::insert(upstream_record const& it, base::time_point now)
+{
+    auto const made = std::make_shared<upstream_state>(it, region_of(it.zone));
+    made->evacuated = evacuated_.count(it.zone) != 0;
+    made->cold_until = now + it.cold_for;
+    all_.emplace(it.id, made);
+    by_service_[it.service].push_back(made);
+}
+
+void upstream_table::erase(map::iterator it)
+{
+    auto const known = it->second;
+    known->gone = true;
+    auto& peers = by_service_[known->record.service];
+    peers.erase(std::remove(peers.begin(), peers.end(), known), peers.end());
+    left_.push_back(known->record.at);
+    all_.erase(it);
+}
+
+void upstream_table::remove(base::upstream_id const& id, base::time_point now)
+{
+    auto const found = all_.find(id);
+    if (found == all_.end())
+    {
+        return;
+    }
+    if (!may_have_lapsed(now) || found->second->record.draining)
+    {
+        erase(found);
+        return;
+    }
+    auto const back_by = (reachable_ ? regained_at_ : now) + lapse_grace_;
+    found->second->gone_at = found->second->gone_at.value_or(back_by);
+}
+
+void upstream_table::evacuate(std::set<base::availability_zone_id> const& zones,
+                              std::unordered_map<base::service_id, service> const& services,
+                              base::time_point now)
+{
+    for (auto const& it : all_)
+    {
+        auto& known = *it.second;
+        auto const now_out = zones.count(known.record.zone) != 0;
+        if (known.evacuated && !now_out)
+        {
+            auto const declared = services.find(known.record.service);
+            auto const cold =
+                declared == services.end() ? base::duration{} : declared->second.cold_start;
+            known.cold_until = std::max(known.cold_until, now + cold);
+        }
+        known.evacuated = now_out;
+    }
+    evacuated_ = zones;
+}
+
+void upstream_table::store_reachable(bool reachable, base::time_point now)
+{
+    if (reachable && !reachable_)
+    {
+        regained_at_ = now;
+        for (auto const& it : all_)
+        {
+            auto& due = it.second->gone_at;
+            due = due ? std::optional<base::time_point>(now + lapse_grace_) : std::nullopt;
+        }
+    }
+    reachable_ = reachable;
+}
+
+void upstream_table::tick(base::time_point now)
+{
+    if (!reachable_)
+    {
+        return;
+    }
+    for (auto it = all_.begin(); it != all_.end();)
+    {
+        auto const next = std::next(it);
+        if (it->second->gone_at && now >= *it->second->gone_at)
+        {
+            erase(it);
+        }
+        it = next;
+    }
+}
+
+base::time_point upstream_table::next_wakeup() const
+{
+    auto first = base::time_point::max();
+    for (auto const& it : all_)
+    {
+        first = reachable_ ? std::min(first, it.second->gone_at.value_or(first)) : first;
+    }
+    return first;
+}
+
+std::vector<upstream_ptr> const& upstream_table::of(base::service_id const& service) const
+{
+    static std::vector<upstream_ptr> const none;
+    auto const it = by_service_.find(service);
+    return it == by_service_.end() ? none : it->second;
+}
+
+bool upstream_table::empty() const
+{
+    return all_.empty();
+}
+
+std::vector<model::endpoint> upstream_table::take_left()
+{
+    return std::exchange(left_, {});
+}
+
+} // namespace fuchsiaproxy::steering
--- a/src/telemetry/state_log.cpp
+++ b/src/telemetry/state_log.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr std::size_t ring_lines = 1024;
-constexpr int lines_per_event_and_second = 20;
+constexpr int lines_per_event_and_second = 2000;
 
 struct line
 {
--- a/src/upstreams/connection.cpp
+++ b/src/upstreams/connection.cpp
@@ -1,5 +1,7 @@
 #include "connection.hpp"
 
+#include <chrono>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 
@@ -9,6 +11,14 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace
+{
+
+// Longer statements are ignored; the pool's own limit is shorter.
+constexpr std::uint64_t longest_stated_limit_s = 3600;
+
+} // namespace
+
 connection::connection(boost::asio::io_context& io) : socket_(io) {}
 
 void connection::set_user(connection_user* user)
@@ -84,6 +94,23 @@
     return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
 }
 
+void connection::limit_idle_time(http::fields const& answer)
+{
+    auto const text = answer.find("Keep-Alive");
+    auto const mark = text ? text->find("timeout=") : std::string_view::npos;
+    if (mark == std::string_view::npos)
+    {
+        return;
+    }
+    auto const value = text->substr(mark + std::string_view("timeout=").size());
+    auto const seconds =
+        http::parse_decimal(value.substr(0, value.find_first_not_of("0123456789")));
+    if (seconds && *seconds <= longest_stated_limit_s)
+    {
+        stated_idle_limit = std::chrono::seconds(*seconds);
+    }
+}
+
 tcp::socket& connection::socket()
 {
     return socket_;
--- a/src/upstreams/connection.hpp
+++ b/src/upstreams/connection.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "fuchsiaproxy/base/time.hpp"
+#include "fuchsiaproxy/http/fields.hpp"
 
 namespace fuchsiaproxy::upstreams
 {
@@ -40,8 +41,13 @@
 
     boost::asio::ip::tcp::socket& socket();
 
+    /// Takes over the idle limit that an answer states in `Keep-Alive`, if any.
+    void limit_idle_time(http::fields const& answer);
+
     /// Time of the last return to the pool.
     base::time_point idle_since{};
+    /// Idle time after which the upstream may close the connection.
+    base::duration stated_idle_limit = base::duration::max();
     /// Whether an earlier request has used the connection.
     bool pooled = false;
 
--- a/src/upstreams/connection_pool.cpp
+++ b/src/upstreams/connection_pool.cpp
@@ -8,6 +8,15 @@
 namespace fuchsiaproxy::upstreams
 {
 
+namespace
+{
+
+// Share of the idle limit that an upstream states up to which a connection is used. The rest covers
+// the network delay and the upstream's own clock.
+constexpr int idle_share_permille = 800;
+
+} // namespace
+
 /// Closes an idle connection that receives anything: its end, or bytes that belong to no request.
 class connection_pool::idle_watch final : public connection_user
 {
@@ -59,6 +68,12 @@
     while (!idle_.empty() && idle_.back().link->idle_since >= oldest)
     {
         auto link = pop();
+        if (may_be_closing(*link))
+        {
+            ++counters_.idle_closed;
+            link->close();
+            continue;
+        }
         if (link->is_quiet())
         {
             ++in_use_;
@@ -70,6 +85,13 @@
     return nullptr;
 }
 
+/// Returns whether the upstream may be closing the connection, by the idle limit that it stated.
+bool connection_pool::may_be_closing(connection const& it) const
+{
+    return it.stated_idle_limit != base::duration::max() &&
+           timers_.now() - it.idle_since >= it.stated_idle_limit * idle_share_permille / 1000;
+}
+
 std::shared_ptr<connection> connection_pool::open()
 {
     if (in_use_ >= settings_.max_connections)
--- a/src/upstreams/connection_pool.hpp
+++ b/src/upstreams/connection_pool.hpp
@@ -66,6 +66,7 @@
 
     void drop(connection const* it);
     std::shared_ptr<connection> pop();
+    bool may_be_closing(connection const& it) const;
 
     boost::asio::io_context& io_;
     base::timer_service& timers_;
--- /dev/null
+++ b/src/upstreams/dialect.cpp
@@ -0,0 +1,53 @@
+#include "fuchsiaproxy/upstreams/dialect.hpp"
+
+#include <algorithm>
+
+namespace fuchsiaproxy::upstreams
+{
+namespace
+{
+
+class native final : public dialect
+{
+public:
+    std::string_view deadline_field() const override
+    {
+        return "Deadline-Ms";
+    }
+
+    bool is_refusal(unsigned status, http::fields const& answer,
+                    std::vector<unsigned> const& declared) const override
+    {
+        return std::find(declared.begin(), declared.end(), status) != declared.end() &&
+               answer.find("Shed") == std::string_view("1");
+    }
+
+    bool belongs(http::fields const&, http::fields const&) const override
+    {
+        return true;
+    }
+
+    bool body_may_end_with_connection() const override
+    {
+        return false;
+    }
+
+    bool is_leaving(http::fields const& answer) const override
+    {
+        return answer.find("Draining").has_value();
+    }
+
+    std::optional<base::load_report> load(http::fields const&) const override
+    {
+        return std::nullopt;
+    }
+};
+
+} // namespace
+
+std::shared_ptr<dialect const> native_dialect()
+{
+    return std::make_shared<native>();
+}
+
+} // namespace fuchsiaproxy::upstreams
--- a/src/upstreams/running_attempt.cpp
+++ b/src/upstreams/running_attempt.cpp
@@ -83,8 +83,9 @@
     }
     ++core_->counters.connects;
     connecting_ = true;
+    connect_started_ = core_->timers.now();
     use(std::move(link));
-    auto const limit = core_->timers.now() + core_->settings.connect_limit;
+    auto const limit = connect_started_ + core_->settings.connect_limit;
     timer_ = core_->timers.at(std::min(limit, request_.deadline),
                               [this](base::time_point) { on_connect_limit(); });
     link_->connect(*pool_->address());
@@ -111,6 +112,7 @@
         finish(attempt_result::connect_failed);
         return;
     }
+    report_.connect_time = core_->timers.now() - connect_started_;
     send();
 }
 
@@ -158,7 +160,8 @@
     http::append_fields(text, request_.fields);
     auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(request_.deadline -
                                                                             core_->timers.now());
-    http::append_field(text, "Deadline-Ms", std::to_string(left.count()));
+    http::append_field(text, core_->settings.upstream_dialect->deadline_field(),
+                       std::to_string(left.count()));
     if (request_.body == nullptr)
     {
         writer_.end_head(http::body_framing::none, states_empty_body(request_.method)
@@ -285,6 +288,11 @@
         link_->arm_read();
         return false;
     }
+    if (ec == asio::error::eof && until_close_)
+    {
+        closed_by_upstream_ = true;
+        return false;
+    }
     break_off();
     return false;
 }
@@ -318,6 +326,14 @@
 {
     while (!finished_ && !head_done_)
     {
+        if (foreign_)
+        {
+            skip_foreign_answer();
+            if (foreign_)
+            {
+                return;
+            }
+        }
         auto const input = std::string_view(buffer_.data() + begin_, end_ - begin_);
         auto const scan = http::scan_head(input, scanned_);
         scanned_ = static_cast<std::uint32_t>(input.size());
@@ -355,19 +371,26 @@
         return head.status != 101;
     }
     auto const has_body = request_.method != "HEAD" && !never_has_body(head.status);
-    if (head.status < 200 || (has_body && !head.chunked && !head.content_length))
+    until_close_ = has_body && !head.chunked && !head.content_length;
+    auto const& dialect = *core_->settings.upstream_dialect;
+    if (head.status < 200 || (until_close_ && !dialect.body_may_end_with_connection()))
     {
-        // A body that ends with the connection cannot be told from one that was cut.
         return false;
     }
+    if (starts_foreign_answer(head))
+    {
+        return !until_close_;
+    }
     head_done_ = true;
     timer_.reset();
     keep_alive_ = head.keep_alive;
     report_.status = head.status;
     report_.upstream_leaving = !keep_alive_;
-    if (is_shed(head))
+    report_.load = dialect.load(head.fields);
+    link_->limit_idle_time(head.fields);
+    if (dialect.is_refusal(head.status, head.fields, request_.shed_statuses))
     {
-        report_.upstream_leaving = report_.upstream_leaving || head.fields.find("Draining");
+        report_.upstream_leaving = report_.upstream_leaving || dialect.is_leaving(head.fields);
         finish_shed();
         return true;
     }
@@ -390,11 +413,41 @@
     }
 }
 
-bool running_attempt::is_shed(http::message_head const& head) const
+/// Returns whether `head` begins an answer to an earlier request, which is then skipped.
+bool running_attempt::starts_foreign_answer(http::message_head const& head)
+{
+    if (core_->settings.upstream_dialect->belongs(head.fields, request_.fields))
+    {
+        return false;
+    }
+    ++core_->counters.foreign_answers;
+    untidy_ = true;
+    foreign_ = !reader_->done();
+    return true;
+}
+
+/// Drops the body of a foreign answer. `foreign_` stays set while more input is needed.
+void running_attempt::skip_foreign_answer()
+{
+    while (!finished_ && !reader_->done() && step())
+    {
+        next_part_ = {};
+    }
+    if (finished_)
+    {
+        return;
+    }
+    foreign_ = !reader_->done();
+    if (foreign_)
+    {
+        link_->arm_read();
+    }
+}
+
+/// Returns whether the answer has arrived completely.
+bool running_attempt::answer_done() const
 {
-    auto const& declared = request_.shed_statuses;
-    return std::find(declared.begin(), declared.end(), head.status) != declared.end() &&
-           head.fields.find("Shed") == std::string_view("1");
+    return reader_->done() || closed_by_upstream_;
 }
 
 /// Unframes the next part into `next_part_`. Returns false when more input is needed, at the end,
@@ -424,12 +477,12 @@
     while (part_.empty())
     {
         if (next_part_.empty() && head_done_ && !finished_ && !step() && !finished_ &&
-            !reader_->done() && !fill())
+            !answer_done() && !fill())
         {
             break;
         }
         part_ = std::exchange(next_part_, std::string_view{});
-        if (finished_ || reader_->done())
+        if (finished_ || answer_done())
         {
             break;
         }
@@ -438,7 +491,7 @@
     {
         step(); // The end often stands right behind the last part.
     }
-    if (!finished_ && reader_->done())
+    if (!finished_ && (reader_->done() || (closed_by_upstream_ && begin_ == end_)))
     {
         complete();
     }
@@ -469,7 +522,8 @@
 {
     // Bytes behind the answer belong to nothing, and the upstream still waits for the rest of a
     // request that was not sent completely.
-    return keep_alive_ && begin_ == end_ && !sending_ && !write_failed_;
+    return keep_alive_ && !untidy_ && !until_close_ && begin_ == end_ && !sending_ &&
+           !write_failed_;
 }
 
 void running_attempt::check_limits(base::time_point now)
--- a/src/upstreams/running_attempt.hpp
+++ b/src/upstreams/running_attempt.hpp
@@ -70,7 +70,9 @@
     bool fill();
     void read_answer_head();
     bool accept_head(http::message_head& head);
-    bool is_shed(http::message_head const& head) const;
+    bool starts_foreign_answer(http::message_head const& head);
+    void skip_foreign_answer();
+    bool answer_done() const;
     void finish_shed();
     bool is_reusable() const;
     bool step();
@@ -99,6 +101,7 @@
     /// the end behind it.
     std::string_view part_;
     std::string_view next_part_;
+    base::time_point connect_started_{};
     base::time_point limit_at_ = base::time_point::max();
 
     attempt_report report_;
@@ -109,6 +112,13 @@
     bool head_done_ = false;
     bool keep_alive_ = false;
     bool awaits_part_ = false;
+    /// The body of the answer ends with the connection.
+    bool until_close_ = false;
+    bool closed_by_upstream_ = false;
+    /// An answer to an earlier request is being skipped.
+    bool foreign_ = false;
+    /// The connection has carried an answer that belongs to no request of its own.
+    bool untidy_ = false;
     bool finished_ = false;
 };
 
