--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "fuchsiaproxy/gateway/entry_process.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -9,6 +10,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include "fuchsiaproxy/gossip/load_exchange.hpp"
 #include "fuchsiaproxy/runtime/asio_timer_service.hpp"
 #include "fuchsiaproxy/runtime/duty_thread.hpp"
 #include "fuchsiaproxy/telemetry/state_log.hpp"
@@ -35,7 +37,10 @@
         : thread_(control_ring_events,
                   [this](steering::control_event const& it) { gateway_.handle(it); }),
           timers_(thread_.io()), page_buffers_(settings.traffic.buffers),
-          gateway_(thread_.io(), timers_, settings.traffic, settings.self, seed, log)
+          gateway_(thread_.io(), timers_, settings.traffic, settings.self, seed, log),
+          exchange_(thread_.io(), settings.peers,
+                    [this](steering::peer_load const& it) { gateway_.on_peer_load(it); }),
+          peer_period_(settings.peer_period), peer_fleet_(settings.peer_fleet)
     {
         add_page(settings.look_ups, settings.look_up_page);
         add_page(settings.readiness, settings.readiness_page);
@@ -56,6 +61,12 @@
                 return listening.error();
             }
         }
+        auto exchanging = exchange_.open();
+        if (!exchanging)
+        {
+            return exchanging.error();
+        }
+        send_load_later(0);
         return boost::outcome_v2::success();
     }
 
@@ -71,6 +82,26 @@
     }
 
 private:
+    void send_load_later(std::size_t peers)
+    {
+        auto const factor = std::max<std::size_t>(1, peers / peer_fleet_);
+        auto const period = peer_period_ * static_cast<base::duration::rep>(factor);
+        load_timer_ = timers_.at(timers_.now() + period, [this](base::time_point) { send_load(); });
+    }
+
+    void send_load()
+    {
+        auto const near = gateway_.decisions().peers(true);
+        auto const far = gateway_.decisions().peers(false);
+        auto const load = gateway_.load();
+        exchange_.send(load, near);
+        if (load.sequence % 2 == 0)
+        {
+            exchange_.send(load, far);
+        }
+        send_load_later(near.size() + far.size());
+    }
+
     void add_page(std::optional<model::endpoint> const& at, gateway_page const& answer)
     {
         if (at)
@@ -85,6 +116,10 @@
     runtime::asio_timer_service timers_;
     http::buffer_pool page_buffers_;
     gateway gateway_;
+    gossip::load_exchange exchange_;
+    base::duration peer_period_;
+    std::size_t peer_fleet_;
+    std::unique_ptr<base::timer_subscription> load_timer_;
     std::vector<std::unique_ptr<page_server>> pages_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,6 +59,16 @@
     schedule_tick();
 }
 
+void gateway::on_peer_load(steering::peer_load const& it)
+{
+    director_.on_peer_load(it, timers_.now());
+}
+
+steering::peer_load gateway::load()
+{
+    return director_.load(timers_.now());
+}
+
 bool gateway::ready() const
 {
     return !draining_ && director_.ready();
--- a/src/include/fuchsiaproxy/gateway/gateway.hpp
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -85,6 +85,12 @@
     /// called once.
     void drain(std::function<void(std::size_t left)> done);
 
+    /// Takes the load that another entry puts on the upstreams.
+    void on_peer_load(steering::peer_load const& it);
+
+    /// Returns the load that this entry puts on the upstreams.
+    steering::peer_load load();
+
     /// Returns whether callers should be sent here.
     bool ready() const;
 
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -17,6 +17,7 @@
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "fuchsiaproxy/steering/director_settings.hpp"
+#include "fuchsiaproxy/steering/peer_load.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
 
 namespace fuchsiaproxy::steering
@@ -174,6 +175,15 @@
     void on_caller_gone(base::local_request_id request, base::time_point now,
                         director_actions& out);
 
+    /// Takes the load that another entry puts on the upstreams.
+    void on_peer_load(peer_load const& it, base::time_point now);
+
+    /// Returns the load that this entry puts on the upstreams.
+    peer_load load(base::time_point now);
+
+    /// Returns the peer addresses of the other entries, those of this entry's region or the rest.
+    std::vector<std::string> peers(bool of_own_region) const;
+
     /// Performs what is due.
     void tick(base::time_point now, director_actions& out);
 
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -52,6 +52,8 @@
     double work_gain = 0.05;
     /// Weight of a new outcome in an upstream's rate of failures.
     double failure_gain = 0.2;
+    /// Age at which another entry's load no longer counts.
+    base::duration peer_memory = std::chrono::milliseconds(1500);
     /// Age at which a load report has lost most of its meaning.
     base::duration report_memory = std::chrono::milliseconds(400);
     /// Largest random part that is added to a cost, as a share of it. Entries with the same view
@@ -71,7 +73,14 @@
     std::uint32_t most_unsent_attempts = 4;
 
     /// Requests per slot, running and waiting, above which an upstream gets no more.
-    double most_per_slot = 2.0;
+    double most_per_slot = 3;
+    /// Largest price of a second of a slot's time, in seconds. The price follows the load of the
+    /// service: on a busy service, work where the object is not warm takes slots from others.
+    double highest_slot_price = 4;
+    /// Load per slot of a service above which a request that would be late is refused.
+    double late_load = 0.9;
+    /// Part of the latency goal within which an answer must be expected for it to be on time.
+    double goal_use = 0.95;
     /// When callers of refused requests are told to come back.
     base::duration retry_after = std::chrono::milliseconds(250);
 
--- a/src/include/fuchsiaproxy/steering/records.hpp
+++ b/src/include/fuchsiaproxy/steering/records.hpp
@@ -42,6 +42,8 @@
     base::region_id region;
     /// Where callers connect.
     std::string address;
+    /// Where it takes loads from other entries.
+    std::string peer_address;
 };
 
 /// All upstreams that discovery lists.
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -14,7 +14,7 @@
 
 director::state::state(director_settings const& it, director_identity who, std::uint64_t seed)
     : settings(it), self(std::move(who)), upstreams(self.zones, settings.lapse_grace),
-      entries(self, settings.lapse_grace), trips(settings, self),
+      entries(self, settings.lapse_grace), peers(settings.peer_memory), trips(settings, self),
       choice(settings, entries, trips, seed)
 {
 }
@@ -94,12 +94,18 @@
     query.work = request.work;
     query.object = request.object;
     query.tried = &request.tried;
+    show_peer_loads(request.service);
     auto const chosen = choice.pick(upstreams.of(request.service), query, now);
     if (!chosen.upstream)
     {
         end(it, request.may_have_run ? error_kind::upstream_failed : error_kind::no_upstream, out);
         return;
     }
+    if (!is_worth_sending(request, chosen, now))
+    {
+        end(it, error_kind::overloaded, out);
+        return;
+    }
     auto const& budget_key = request.service;
     if (request.arrivals == 0)
     {
@@ -122,6 +128,20 @@
     start(it, chosen, *query.declared, now, out);
 }
 
+/// Returns whether a request may be sent on a busy service: only if its answer is expected on time,
+/// or if it has been refused before and would be given up for good.
+bool director::state::is_worth_sending(request_state const& request, selection const& chosen,
+                                       base::time_point now) const
+{
+    if (request.arrivals > 0 || chosen.service_load < settings.late_load || request.came_back)
+    {
+        return true;
+    }
+    auto const goal = std::chrono::duration<double>(request.of->latency_goal).count();
+    auto const spent = std::chrono::duration<double>(now - request.arrived).count();
+    return spent + chosen.expected <= goal * settings.goal_use;
+}
+
 void director::state::start(request_map::iterator it, selection const& chosen,
                             service const& declared, base::time_point now, director_actions& out)
 {
@@ -251,6 +271,13 @@
     request.arrived = now;
     request.deadline = now + found->timeout;
     request.deadline = it.deadline ? std::min(request.deadline, *it.deadline) : request.deadline;
+    if (it.deadline)
+    {
+        // Callers give the time that is left, so one that comes back gives less than others.
+        auto& longest = my.longest_deadlines[found->name];
+        longest = std::max(longest, *it.deadline - now);
+        request.came_back = *it.deadline - now < longest * 9 / 10;
+    }
     my.dispatch(my.requests.emplace(it.id, std::move(request)).first, now, out);
 }
 
@@ -363,6 +390,7 @@
 {
     state_->upstreams.tick(now);
     state_->entries.tick(now);
+    state_->peers.tick(now);
     state_->report_left(out);
 }
 
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -28,6 +28,59 @@
     }
 }
 
+void director::state::show_peer_loads(base::service_id const& service) const
+{
+    // With less than half of the entries heard, the upstreams' own reports say more.
+    auto const heard = peers.entries() * 2 + 1 >= entries.size();
+    for (auto const& it : upstreams.of(service))
+    {
+        it->peers_in_flight =
+            heard ? std::optional<std::uint32_t>(peers.at(it->tag())) : std::nullopt;
+    }
+}
+
+void director::on_peer_load(peer_load const& it, base::time_point now)
+{
+    auto& my = *state_;
+    if (it.from == my.self.id)
+    {
+        return;
+    }
+    my.peers.take(it, now);
+    for (auto const& one : it.upstreams)
+    {
+        auto const known = one.pace_percent == 0 ? nullptr : my.upstreams.tagged(one.upstream);
+        if (known != nullptr)
+        {
+            known->take_pace(one.pace_percent, now);
+        }
+    }
+}
+
+peer_load director::load(base::time_point now)
+{
+    auto& my = *state_;
+    my.peers.tick(now);
+    peer_load made;
+    made.from = my.self.id;
+    made.sequence = ++my.load_sequence;
+    my.upstreams.for_each(
+        [&](upstream_state& it)
+        {
+            auto const pace = std::exchange(it.untold_pace, 0);
+            if (it.in_flight > 0 || pace > 0)
+            {
+                made.upstreams.push_back({it.tag(), it.in_flight, pace});
+            }
+        });
+    return made;
+}
+
+std::vector<std::string> director::peers(bool of_own_region) const
+{
+    return state_->entries.peers(of_own_region);
+}
+
 void director::on_control(control_event const& event, base::time_point now, director_actions& out)
 {
     auto& my = *state_;
@@ -60,6 +113,7 @@
         void operator()(entry_removed const& it) const
         {
             my.entries.remove(it.id, now);
+            my.peers.forget(it.id);
         }
         void operator()(zones_evacuated const& it) const
         {
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -9,6 +9,7 @@
 #include "entry_view.hpp"
 #include "fuchsiaproxy/limits/extra_attempt_budget.hpp"
 #include "fuchsiaproxy/steering/director.hpp"
+#include "peer_loads.hpp"
 #include "selector.hpp"
 #include "trip_times.hpp"
 #include "upstream_table.hpp"
@@ -36,6 +37,8 @@
     std::uint32_t unsent = 0;
     /// It is part of the budget's first attempts.
     bool counted = false;
+    /// The caller has had an answer before, and has not much time left.
+    bool came_back = false;
     bool may_have_run = false;
     bool answered = false;
     bool caller_gone = false;
@@ -63,6 +66,8 @@
     limits::extra_attempt_budget& budget_of(base::service_id const& service);
     base::service_id next_service(route const& it);
     void dispatch(request_map::iterator it, base::time_point now, director_actions& out);
+    bool is_worth_sending(request_state const& request, selection const& chosen,
+                          base::time_point now) const;
     void start(request_map::iterator it, selection const& chosen, service const& declared,
                base::time_point now, director_actions& out);
     void end(request_map::iterator it, base::error_kind kind, director_actions& out);
@@ -73,6 +78,8 @@
     void measure(attempt_state const& it, request_state const& request, base::time_point now);
     void adopt(std::shared_ptr<configuration const> const& offered, director_actions& out);
     void report_left(director_actions& out);
+    /// Gives the upstreams of a service what the other entries have said.
+    void show_peer_loads(base::service_id const& service) const;
 
     director_settings settings;
     director_identity self;
@@ -80,14 +87,18 @@
     route_index routes;
     upstream_table upstreams;
     entry_view entries;
+    peer_loads peers;
     trip_times trips;
     work_times works;
     selector choice;
     std::unordered_map<base::service_id, limits::extra_attempt_budget> budgets;
     std::unordered_map<std::string, std::vector<std::int64_t>> split_credit;
+    /// Longest time that callers have given for each route.
+    std::unordered_map<std::string, base::duration> longest_deadlines;
     request_map requests;
     std::unordered_map<base::attempt_id, attempt_state> attempts;
     std::uint64_t last_attempt = 0;
+    std::uint64_t load_sequence = 0;
     director_counters counters;
 };
 
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -45,6 +45,9 @@
     /// Returns the regions that have live entries, with the number of their zones that have some.
     std::map<base::region_id, double> regions() const;
 
+    /// Returns the peer addresses of the other entries, those of the own region or the rest.
+    std::vector<std::string> peers(bool of_own_region) const;
+
     /// Returns up to `most` addresses for callers in `zone`: those of its region, or of all regions
     /// when it has none.
     std::vector<std::string> addresses_for(base::availability_zone_id const& zone,
--- a/src/steering/selector.cpp
+++ b/src/steering/selector.cpp
@@ -92,22 +92,43 @@
     return shares_of(entries_.own_region(), entries_.regions(), capacity);
 }
 
-double selector::cost(upstream_state const& it, selection_query const& query, std::size_t rank,
-                      base::time_point now)
+double selector::load_of(std::vector<upstream_ptr> const& from, base::time_point now) const
 {
+    double load = 0;
+    double slots = 0;
+    for (auto const& it : from)
+    {
+        if (it->takes_new_work() && now >= it->suspended_until && !it->is_cold(now))
+        {
+            load += it->in_flight + it->foreign(now, settings_.report_memory);
+            slots += it->record.slots;
+        }
+    }
+    return slots > 0 ? load / slots : 1;
+}
+
+selection selector::appraise(upstream_ptr const& upstream, selection_query const& query,
+                             std::size_t rank, double slot_price, base::time_point now)
+{
+    auto const& it = *upstream;
     auto const memory = settings_.report_memory;
     auto const slots = static_cast<double>(std::max(1U, it.record.slots));
     auto const load = it.in_flight + it.foreign(now, memory);
-    // Below full slots the wait is small but grows with the load, which spreads requests.
-    auto const ahead = std::max(0.0, load + 1 - slots);
-    auto const wait =
-        query.work->typical() * (ahead / slots + settings_.load_aversion * load / slots);
     auto const slowdown =
         it.slowdown(now, memory) * (it.is_cold(now) ? settings_.cold_slowdown : 1);
-    auto const base = seconds(trips_.to(it.record.zone)) + wait + query.work->at(rank) * slowdown;
-    auto const goal = seconds(query.of->latency_goal);
+    auto const work = query.work->at(rank) * slowdown;
+    auto const ahead = std::max(0.0, load + 1 - slots);
+    auto const wait = query.work->typical() * slowdown * ahead / slots;
+    selection made{upstream, rank};
+    made.expected = seconds(trips_.to(it.record.zone)) + wait + work;
+    // Below full slots there is no wait, but the load still counts a little, which spreads
+    // requests.
+    auto const crowding = query.work->typical() * settings_.load_aversion * load / slots;
+    auto const failures =
+        it.failure_rate * settings_.failure_cost * seconds(query.of->latency_goal);
     std::uniform_real_distribution<double> spread(1, 1 + settings_.cost_spread);
-    return (base + it.failure_rate * settings_.failure_cost * goal) * spread(random_);
+    made.cost = (made.expected + work * slot_price + crowding + failures) * spread(random_);
+    return made;
 }
 
 selection selector::pick(std::vector<upstream_ptr> const& from, selection_query const& query,
@@ -116,6 +137,9 @@
     auto const has_object = query.of->affinity && query.object != 0;
     std::vector<std::size_t> const* const ranks =
         has_object ? &order_.rank(from, query.object, shares(from)) : nullptr;
+    auto const service_load = load_of(from, now);
+    auto const busy = std::min(service_load, 0.999);
+    auto const slot_price = std::min(settings_.highest_slot_price, busy / (1 - busy));
     selection best;
     for (std::size_t n = 0; n < from.size(); ++n)
     {
@@ -125,12 +149,13 @@
             continue;
         }
         auto const rank = ranks == nullptr ? 0 : (*ranks)[n];
-        auto const expected = cost(*it, query, rank, now);
-        if (!best.upstream || expected < best.expected)
+        auto const other = appraise(it, query, rank, slot_price, now);
+        if (!best.upstream || other.cost < best.cost)
         {
-            best = selection{it, rank, expected};
+            best = other;
         }
     }
+    best.service_load = service_load;
     return best;
 }
 
--- a/src/steering/selector.hpp
+++ b/src/steering/selector.hpp
@@ -34,6 +34,10 @@
     std::size_t rank = told_ranks;
     /// Expected time to the answer, in seconds.
     double expected = 0;
+    /// Expected time with the price of the slot's time, by which upstreams are compared.
+    double cost = 0;
+    /// Load per slot of the service.
+    double service_load = 0;
 };
 
 /// Chooses the upstream with the smallest expected time to the answer: round trip, wait for a slot
@@ -61,8 +65,10 @@
     bool may_send_cold(upstream_state const& it, service const& declared,
                        base::time_point now) const;
     region_shares shares(std::vector<upstream_ptr> const& from) const;
-    double cost(upstream_state const& it, selection_query const& query, std::size_t rank,
-                base::time_point now);
+    /// Returns the load per slot over the upstreams that take work.
+    double load_of(std::vector<upstream_ptr> const& from, base::time_point now) const;
+    selection appraise(upstream_ptr const& it, selection_query const& query, std::size_t rank,
+                       double slot_price, base::time_point now);
 
     director_settings const& settings_;
     entry_view const& entries_;
--- a/src/steering/upstream_state.hpp
+++ b/src/steering/upstream_state.hpp
@@ -9,6 +9,7 @@
 
 #include "fuchsiaproxy/base/load_report.hpp"
 #include "fuchsiaproxy/steering/director_settings.hpp"
+#include "fuchsiaproxy/steering/peer_load.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
 #include "hashing.hpp"
 
@@ -26,6 +27,8 @@
     upstream_record record;
     base::region_id region;
     std::uint64_t hash = 0;
+    /// Attempts of other entries, as they say; absent while too few of them are heard.
+    std::optional<std::uint32_t> peers_in_flight;
     bool evacuated = false;
     /// Discovery has removed it, or another upstream has its address.
     bool gone = false;
@@ -41,6 +44,8 @@
     double foreign_mean = 0;
     double foreign_last = 0;
     double pace = 1;
+    /// Latest pace in percent that the other entries have not been told of; 0 if none.
+    std::uint32_t untold_pace = 0;
     base::time_point report_at = base::time_point::min();
 
     double failure_rate = 0;
@@ -53,6 +58,11 @@
         return !gone && !record.draining && !evacuated;
     }
 
+    upstream_tag tag() const
+    {
+        return static_cast<upstream_tag>(hash);
+    }
+
     bool is_cold(base::time_point now) const
     {
         return now < cold_until;
@@ -72,6 +82,10 @@
     /// Returns the requests of other entries that are expected at the upstream.
     double foreign(base::time_point now, base::duration memory) const
     {
+        if (peers_in_flight)
+        {
+            return *peers_in_flight;
+        }
         auto const weight = report_weight(now, memory);
         return foreign_mean + (foreign_last - foreign_mean) * weight;
     }
@@ -90,7 +104,14 @@
         auto const total = static_cast<double>(it.running + it.waiting);
         foreign_last = std::max(0.0, total - in_flight);
         foreign_mean += (foreign_last - foreign_mean) * gain;
-        pace = it.pace_percent / 100.0;
+        take_pace(it.pace_percent, now);
+        untold_pace = it.pace_percent;
+    }
+
+    /// Takes the pace of the upstream's machine.
+    void take_pace(std::uint32_t percent, base::time_point now)
+    {
+        pace = percent / 100.0;
         report_at = now;
     }
 };
--- a/src/steering/upstream_table.cpp
+++ b/src/steering/upstream_table.cpp
@@ -81,6 +81,7 @@
     made->evacuated = evacuated_.count(it.zone) != 0;
     made->cold_until = now + it.cold_for;
     all_.emplace(it.id, made);
+    by_tag_[made->tag()] = made;
     by_service_[it.service].push_back(made);
 }
 
@@ -91,6 +92,7 @@
     auto& peers = by_service_[known->record.service];
     peers.erase(std::remove(peers.begin(), peers.end(), known), peers.end());
     left_.push_back(known->record.at);
+    by_tag_.erase(known->tag());
     all_.erase(it);
 }
 
@@ -178,6 +180,12 @@
     return it == by_service_.end() ? none : it->second;
 }
 
+upstream_state* upstream_table::tagged(upstream_tag tag) const
+{
+    auto const it = by_tag_.find(tag);
+    return it == by_tag_.end() ? nullptr : it->second.get();
+}
+
 bool upstream_table::empty() const
 {
     return all_.empty();
--- a/src/steering/upstream_table.hpp
+++ b/src/steering/upstream_table.hpp
@@ -47,6 +47,19 @@
 
     bool empty() const;
 
+    /// Returns the upstream with the given tag, or null.
+    upstream_state* tagged(upstream_tag tag) const;
+
+    /// Calls `use` for each upstream.
+    template <class Use>
+    void for_each(Use use) const
+    {
+        for (auto const& it : all_)
+        {
+            use(*it.second);
+        }
+    }
+
     /// Returns the upstreams that got no more work since the last call, and forgets them.
     std::vector<model::endpoint> take_left();
 
@@ -61,6 +74,7 @@
     std::map<base::availability_zone_id, base::region_id> const& zones_;
     base::duration lapse_grace_;
     map all_;
+    std::unordered_map<upstream_tag, upstream_ptr> by_tag_;
     std::unordered_map<base::service_id, std::vector<upstream_ptr>> by_service_;
     std::set<base::availability_zone_id> evacuated_;
     std::vector<model::endpoint> left_;
