--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -133,10 +133,14 @@
 bool director::state::is_worth_sending(request_state const& request, selection const& chosen,
                                        base::time_point now) const
 {
-    if (request.arrivals > 0 || chosen.service_load < settings.late_load || request.came_back)
+    if (request.arrivals > 0 || chosen.service_load < settings.late_load)
     {
         return true;
     }
+    if (request.came_back)
+    {
+        return chosen.wait <= 0;
+    }
     auto const goal = std::chrono::duration<double>(request.of->latency_goal).count();
     auto const spent = std::chrono::duration<double>(now - request.arrived).count();
     return spent + chosen.expected <= goal * settings.goal_use;
@@ -155,6 +159,7 @@
     auto const id = base::attempt_id(++last_attempt);
     attempt_state made{it->first, chosen.upstream, now, chosen.rank,
                        upstream.slowdown(now, memory)};
+    made.waited = chosen.wait > 0;
     made.why.route = request.of->name;
     made.why.version = request.config->version;
     made.why.object = request.object;
@@ -232,6 +237,10 @@
 void director::state::measure(attempt_state const& it, request_state const& request,
                               base::time_point now)
 {
+    if (it.waited)
+    {
+        return;
+    }
     auto const trip = trips.to(it.upstream->record.zone);
     auto const spent = now - it.started;
     auto const work = std::chrono::duration<double>(std::max<base::duration>(spent - trip, {}));
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -53,6 +53,8 @@
     std::size_t rank = told_ranks;
     /// Expected slowdown of the upstream's machine at the start.
     double slowdown = 1;
+    /// A wait for a slot was expected, so the time that it takes says little of the work.
+    bool waited = false;
     /// What decided the choice.
     attempt_explained why{};
 };
--- a/src/steering/selector.cpp
+++ b/src/steering/selector.cpp
@@ -120,6 +120,7 @@
     auto const ahead = std::max(0.0, load + 1 - slots);
     auto const wait = query.work->typical() * slowdown * ahead / slots;
     selection made{upstream, rank};
+    made.wait = wait;
     made.expected = seconds(trips_.to(it.record.zone)) + wait + work;
     // Below full slots there is no wait, but the load still counts a little, which spreads
     // requests.
--- a/src/steering/selector.hpp
+++ b/src/steering/selector.hpp
@@ -34,6 +34,8 @@
     std::size_t rank = told_ranks;
     /// Expected time to the answer, in seconds.
     double expected = 0;
+    /// Expected wait for a slot, in seconds.
+    double wait = 0;
     /// Expected time with the price of the slot's time, by which upstreams are compared.
     double cost = 0;
     /// Load per slot of the service.
