Fetch changes of the store in batches, and let probes find silent connections

The period of the load exchange followed the whole fleet, so an entry heard of its region's load every 500 ms, twice the work time.

Ruled out: fewer watchers; it needs a second path for changes and is the next step.

Change: at least 700 ms between two watches, which wait up to 20 s on connections with keep-alive probes; a lease of 3.8 s renewed every 1.2 s; the period of the exchange follows the entries of the own region.

--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -23,6 +23,9 @@
 // Events of the control plane that may wait for the traffic thread. A whole listing is one event.
 constexpr std::size_t control_ring_events = 4096;
 
+// Entries of other regions get one load in so many: most requests stay in their region.
+constexpr std::uint64_t far_share = 2;
+
 std::uint64_t draw_seed()
 {
     std::random_device device;
@@ -82,9 +85,9 @@
     }
 
 private:
-    void send_load_later(std::size_t peers)
+    void send_load_later(std::size_t near_peers)
     {
-        auto const factor = std::max<std::size_t>(1, peers / peer_fleet_);
+        auto const factor = std::max<std::size_t>(1, near_peers / peer_fleet_);
         auto const period = peer_period_ * static_cast<base::duration::rep>(factor);
         load_timer_ = timers_.at(timers_.now() + period, [this](base::time_point) { send_load(); });
     }
@@ -95,11 +98,11 @@
         auto const far = gateway_.decisions().peers(false);
         auto const load = gateway_.load();
         exchange_.send(load, near);
-        if (load.sequence % 2 == 0)
+        if (load.sequence % far_share == 0)
         {
             exchange_.send(load, far);
         }
-        send_load_later(near.size() + far.size());
+        send_load_later(near.size());
     }
 
     void add_page(std::optional<model::endpoint> const& at, gateway_page const& answer)
--- a/src/include/fuchsiaproxy/gateway/entry_process.hpp
+++ b/src/include/fuchsiaproxy/gateway/entry_process.hpp
@@ -57,11 +57,11 @@
     std::optional<model::endpoint> readiness;
     /// Where loads of other entries arrive, as datagrams.
     model::endpoint peers;
-    /// Period of the loads that are sent to the entries of the own region, for a fleet of
-    /// `peer_fleet` entries; it grows with the fleet, so that an entry's cost does not. Entries of
-    /// other regions get every second load.
+    /// Period of the loads that are sent to the entries of the own region, up to `peer_fleet` of
+    /// them; it grows with their number, so that an entry's cost does not. Entries of other regions
+    /// get every second load.
     base::duration peer_period = std::chrono::milliseconds(100);
-    std::size_t peer_fleet = 12;
+    std::size_t peer_fleet = 10;
     gateway_page look_up_page;
     gateway_page readiness_page;
     std::function<std::unique_ptr<control_plane>(control_context)> make_control;
--- a/src/include/fuchsiaproxy/metadata/http_client.hpp
+++ b/src/include/fuchsiaproxy/metadata/http_client.hpp
@@ -76,6 +76,9 @@
     std::size_t max_queued = 256;
     /// Bytes of an answer's body. A value of 1 MB grows when it is escaped as JSON.
     std::size_t max_answer_bytes = 8'000'000;
+    /// Silence after which the system probes a connection, and after which it gives one up that
+    /// does not answer; zero leaves both to the system. Whole seconds.
+    std::chrono::seconds probe_after{0};
 };
 
 /// Counts of a client's connections.
--- a/src/include/fuchsiaproxy/metadata/lease_keeper.hpp
+++ b/src/include/fuchsiaproxy/metadata/lease_keeper.hpp
@@ -16,8 +16,8 @@
 /// Timing of a `lease_keeper`.
 struct lease_settings
 {
-    base::duration ttl = std::chrono::seconds(3);
-    base::duration renewal_period = std::chrono::seconds(1);
+    base::duration ttl = std::chrono::milliseconds(3800);
+    base::duration renewal_period = std::chrono::milliseconds(1200);
     /// Pause after the first failed call; doubles up to `renewal_period`, with jitter.
     base::duration first_pause = std::chrono::milliseconds(100);
     /// Seed of the jitter.
--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -33,8 +33,12 @@
 struct follower_settings
 {
     std::string prefix;
-    /// Longest wait of one watch.
-    base::duration watch_wait = std::chrono::seconds(4);
+    /// Longest wait of one watch. A connection that goes silent meanwhile is found by its keep-alive
+    /// probes.
+    base::duration watch_wait = std::chrono::seconds(20);
+    /// Least time between the starts of two watches. Changes within it are fetched together, which
+    /// bounds the calls in a time of many changes.
+    base::duration least_gap = std::chrono::milliseconds(700);
     /// Pause after the first failed call; doubles up to `longest_pause`, with jitter.
     base::duration first_pause = std::chrono::milliseconds(100);
     base::duration longest_pause = std::chrono::milliseconds(800);
--- a/src/metadata/http_client.cpp
+++ b/src/metadata/http_client.cpp
@@ -6,6 +6,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -88,6 +90,26 @@
     return ec == asio::error::would_block;
 }
 
+/// Lets the system find out that a connection has gone silent.
+void probe_when_silent(tcp::socket& socket, std::chrono::seconds after)
+{
+    if (after.count() == 0)
+    {
+        return;
+    }
+    using idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    auto const s = static_cast<int>(after.count());
+    error_code ignored;
+    socket.set_option(tcp::socket::keep_alive(true), ignored);
+    socket.set_option(idle(s), ignored);
+    socket.set_option(interval(s), ignored);
+    socket.set_option(count(1), ignored);
+    socket.set_option(user_timeout(2 * s * 1000), ignored);
+}
+
 http_answer failed(call_state const& call, std::string why)
 {
     http_answer out;
@@ -252,6 +274,7 @@
                 ++self->counts_.opened;
                 error_code ignored;
                 call->conn->socket.set_option(tcp::no_delay(true), ignored);
+                probe_when_silent(call->conn->socket, self->limits_.probe_after);
                 self->write(call);
             });
     }
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -75,8 +75,20 @@
         watch();
     }
 
+    void watch_later()
+    {
+        auto const due = watched_at_ + settings_.least_gap;
+        if (timers_.now() >= due)
+        {
+            watch();
+            return;
+        }
+        timer_ = timers_.at(due, [this](base::time_point) { watch(); });
+    }
+
     void watch()
     {
+        watched_at_ = timers_.now();
         ++counters_.watches;
         store_.watch(settings_.prefix, after_, settings_.watch_wait,
                      [weak = weak_from_this()](base::result<key_value_changes> seen)
@@ -108,7 +120,7 @@
             events_.changed(it);
         }
         after_ = std::max(after_, seen.value().current);
-        watch();
+        watch_later();
     }
 
     void succeed()
@@ -141,6 +153,7 @@
     std::optional<store_revision> begin_;
     store_revision after_;
     std::unique_ptr<base::timer_subscription> timer_;
+    base::time_point watched_at_{};
     bool reachable_ = true;
     bool stopped_ = false;
 };
