--- a/src/include/fuchsiaproxy/metadata/http_client.hpp
+++ b/src/include/fuchsiaproxy/metadata/http_client.hpp
@@ -79,6 +79,9 @@
     /// Silence after which the system probes a connection, and after which it gives one up that
     /// does not answer; zero leaves both to the system. Whole seconds.
     std::chrono::seconds probe_after{0};
+    /// Longest time for a new connection; zero leaves it to the call's deadline. A full listener
+    /// drops the opening packet, which the system repeats only after a second or more.
+    base::duration connect_limit{};
 };
 
 /// Counts of a client's connections.
--- a/src/metadata/http_client.cpp
+++ b/src/metadata/http_client.cpp
@@ -38,13 +38,14 @@
 struct call_state
 {
     call_state(asio::io_context& io, http_call call, http_client::handler handler)
-        : request(std::move(call)), done(std::move(handler)), deadline(io)
+        : request(std::move(call)), done(std::move(handler)), deadline(io), connect_limit(io)
     {
     }
 
     http_call request;
     http_client::handler done;
     asio::steady_timer deadline;
+    asio::steady_timer connect_limit;
     std::shared_ptr<connection> conn;
     std::string wire;
     std::optional<http::response_parser<http::string_body>> parser;
@@ -205,6 +206,7 @@
         call.finished = true;
         call.done = nullptr;
         call.deadline.cancel();
+        call.connect_limit.cancel();
         close(call);
     }
 
@@ -258,10 +260,12 @@
             return;
         }
         call->conn = std::make_shared<connection>(io_);
+        limit_connect(call);
         call->conn->socket.async_connect(
             tcp::endpoint(address, endpoint_.port),
             [self = shared_from_this(), call](error_code failure)
             {
+                call->connect_limit.cancel();
                 if (call->finished)
                 {
                     return;
@@ -279,6 +283,23 @@
             });
     }
 
+    void limit_connect(call_ptr const& call)
+    {
+        if (limits_.connect_limit == base::duration{})
+        {
+            return;
+        }
+        call->connect_limit.expires_after(limits_.connect_limit);
+        call->connect_limit.async_wait(
+            [self = shared_from_this(), call](error_code ec)
+            {
+                if (!ec && !call->finished && !self->stopped_)
+                {
+                    self->finish(call, failed(*call, "no connection within its limit"));
+                }
+            });
+    }
+
     void write(call_ptr const& call)
     {
         call->wire = serialise(call->request, endpoint_);
@@ -410,6 +431,7 @@
     {
         call->finished = true;
         call->deadline.cancel();
+        call->connect_limit.cancel();
         close(*call);
         active_.erase(call);
         auto const done = std::move(call->done);
