List the store again after a failed watch

The store cuts watches and then drops its history. A watch that an entry begins again in between is accepted and stays silent until the next change: edge-nord-a-8 asked at 8.252 s after revision 602, version 7 of the configuration was revision 603, and the answer 410 came at 13.15 s. Entries that asked 5 ms later got 410 at once.

Shorter waits: the watch may come back with the present revision and no changes.

Change: the follower lists after each failed watch.

The test lists_again_after_a_watch_has_failed failed before the change (a watch was waiting).

Conclusion: no revision is skipped, at the price of a listing per failed watch.

--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -57,7 +57,7 @@
 };
 
 /// Keeps a copy of the keys with a prefix up to date: lists them once, watches from the revision of
-/// the first page on, and lists again when the store has dropped the history in between.
+/// the first page on, and lists again when a watch has failed or the store has dropped the history.
 ///
 /// Thread safety: none; used on the thread of the store and the timers.
 class store_follower
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -110,7 +110,9 @@
         }
         if (!seen)
         {
-            fail(seen.error(), [this] { watch(); });
+            // A watch that is begun again may wait although the store has dropped the history in
+            // between, and hear nothing until the next change.
+            fail(seen.error(), [this] { list(); });
             return;
         }
         succeed();
--- /dev/null
+++ b/src/metadata/store_follower_test.cpp
@@ -0,0 +1,191 @@
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaproxy/metadata/store_follower.hpp"
+#include "../testing/manual_timer_service.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace std::chrono_literals;
+using metadata::key_value;
+using metadata::store_revision;
+
+namespace
+{
+
+/// Store whose calls wait until the test answers them.
+class scripted_store final : public metadata::key_value_store
+{
+public:
+    struct listing
+    {
+        std::string after;
+        page_handler done;
+    };
+    struct waiting_watch
+    {
+        store_revision after;
+        changes_handler done;
+    };
+
+    void list(std::string, std::string after, page_handler done) override
+    {
+        lists.push_back({std::move(after), std::move(done)});
+    }
+    void watch(std::string, store_revision after, base::duration, changes_handler done) override
+    {
+        watches.push_back({after, std::move(done)});
+    }
+    void put(std::string, std::string, metadata::lease_id, done_handler) override {}
+    void grant_lease(base::duration, lease_handler) override {}
+    void renew_lease(metadata::lease_id, lease_handler) override {}
+    void end_lease(metadata::lease_id, done_handler) override {}
+
+    listing take_list()
+    {
+        CHECK_FALSE(lists.empty());
+        auto it = std::move(lists.front());
+        lists.pop_front();
+        return it;
+    }
+    waiting_watch take_watch()
+    {
+        CHECK_FALSE(watches.empty());
+        auto it = std::move(watches.front());
+        watches.pop_front();
+        return it;
+    }
+
+    std::deque<listing> lists;
+    std::deque<waiting_watch> watches;
+};
+
+class seen_events final : public metadata::follower_events
+{
+public:
+    void listed(std::vector<key_value> const& items) override
+    {
+        ++listings;
+        last_listing = items;
+    }
+    void changed(key_value const& it) override
+    {
+        changes.push_back(it.key);
+    }
+    void store_reachable(bool reachable, std::string const&) override
+    {
+        reachability.push_back(reachable);
+    }
+
+    int listings = 0;
+    std::vector<key_value> last_listing;
+    std::vector<std::string> changes;
+    std::vector<bool> reachability;
+};
+
+key_value item(std::string key, std::uint64_t revision)
+{
+    return {std::move(key), "v", store_revision(revision), false};
+}
+
+metadata::key_value_page page(std::vector<key_value> items, bool more, std::uint64_t current)
+{
+    return {std::move(items), more, store_revision(current)};
+}
+
+base::error unavailable()
+{
+    return {base::error_kind::store_unavailable, "down"};
+}
+
+} // namespace
+
+TEST_GROUP(store_follower)
+{
+    scripted_store store;
+    testing::manual_timer_service timers;
+    seen_events events;
+    metadata::follower_settings settings;
+    std::unique_ptr<metadata::store_follower> follower;
+
+    void setup() override
+    {
+        settings.least_gap = 700ms;
+        follower = std::make_unique<metadata::store_follower>(store, timers, events, settings);
+        follower->start();
+    }
+    void teardown() override
+    {
+        follower.reset();
+    }
+    void list_at(std::uint64_t revision)
+    {
+        store.take_list().done(page({item("a", 1)}, false, revision));
+    }
+};
+
+// Guards against a change that falls between two pages of a listing and is never seen.
+TEST(store_follower, watches_from_the_revision_of_the_first_page)
+{
+    store.take_list().done(page({item("a", 1)}, true, 10));
+    auto second = store.take_list();
+    CHECK(second.after == "a");
+    second.done(page({item("b", 2)}, false, 15));
+    LONGS_EQUAL(1, events.listings);
+    LONGS_EQUAL(2, events.last_listing.size());
+    LONGS_EQUAL(10, store.take_watch().after.value());
+}
+
+// Guards against a watch that the store accepts although it has dropped the history since, and
+// that stays silent until the next change: an entry kept an old configuration for 5 s.
+TEST(store_follower, lists_again_after_a_watch_has_failed)
+{
+    list_at(10);
+    store.take_watch().done(base::error{base::error_kind::store_answer_unknown, "reset"});
+    timers.advance(settings.longest_pause);
+    CHECK(store.watches.empty());
+    LONGS_EQUAL(1, store.lists.size());
+    list_at(12);
+    LONGS_EQUAL(2, events.listings);
+    LONGS_EQUAL(12, store.take_watch().after.value());
+}
+
+TEST(store_follower, lists_at_once_when_the_history_is_lost)
+{
+    list_at(10);
+    store.take_watch().done(base::error{base::error_kind::history_lost, "410"});
+    LONGS_EQUAL(1, store.lists.size());
+}
+
+// Guards against a call to the store for each change in a time of many changes.
+TEST(store_follower, fetches_changes_in_batches)
+{
+    list_at(10);
+    store.take_watch().done(metadata::key_value_changes{{item("a", 11)}, store_revision(11)});
+    LONGS_EQUAL(1, events.changes.size());
+    CHECK(store.watches.empty());
+    timers.advance(699ms);
+    CHECK(store.watches.empty());
+    timers.advance(1ms);
+    LONGS_EQUAL(11, store.take_watch().after.value());
+}
+
+// Guards against reports of each failed call, and against an outage that is never reported.
+TEST(store_follower, reports_loss_and_return_once)
+{
+    list_at(10);
+    store.take_watch().done(unavailable());
+    for (int n = 0; n < 3; ++n)
+    {
+        timers.advance(settings.longest_pause);
+        store.take_list().done(unavailable());
+    }
+    timers.advance(settings.longest_pause);
+    list_at(20);
+    LONGS_EQUAL(2, events.reachability.size());
+    CHECK_FALSE(events.reachability[0]);
+    CHECK(events.reachability[1]);
+}
