--- /dev/null
+++ b/src/gateway/entry_metrics.cpp
@@ -0,0 +1,114 @@
+#include "entry_metrics.hpp"
+
+#include <vector>
+
+#include "fuchsiaproxy/telemetry/metrics.hpp"
+
+namespace fuchsiaproxy::gateway
+{
+namespace
+{
+
+/// Registry that is filled anew for each answer from the counts that the parts keep.
+class page_metrics
+{
+public:
+    void set_counter(std::string const& name, std::string const& help, std::uint64_t value)
+    {
+        registry_.set_counter(name, help, {}, static_cast<double>(value));
+    }
+
+    void gauge(std::string const& name, std::string const& help, std::size_t value)
+    {
+        registry_.gauge(name, help).Set(static_cast<double>(value));
+    }
+
+    void histogram(std::string const& name, std::string const& help, latency_buckets const& it)
+    {
+        auto const& bounds = latency_buckets::bounds;
+        std::vector<double> const counts(it.counts().begin(), it.counts().end());
+        registry_.histogram(name, help, {bounds.begin(), bounds.end()})
+            .ObserveMultiple(counts, it.sum());
+    }
+
+    std::string text() const
+    {
+        return registry_.text();
+    }
+
+private:
+    telemetry::metrics registry_;
+};
+
+void add_decisions(page_metrics& to, steering::director const& from)
+{
+    auto const& it = from.counters();
+    to.set_counter("fuchsiaproxy_entry_requests_total", "Requests of callers.", it.requests);
+    to.set_counter("fuchsiaproxy_entry_answered_total", "Answers of upstreams passed on.",
+                   it.answered);
+    to.set_counter("fuchsiaproxy_entry_answered_late_total",
+                   "Answers passed on later than the route's latency goal.", it.answered_late);
+    to.set_counter("fuchsiaproxy_entry_refused_total", "Requests answered as not run.", it.refused);
+    to.set_counter("fuchsiaproxy_entry_unknown_routes_total", "Requests without a route.",
+                   it.unknown_routes);
+    to.set_counter("fuchsiaproxy_entry_callers_gone_total", "Callers that left before the answer.",
+                   it.callers_gone);
+    to.set_counter("fuchsiaproxy_entry_first_attempts_total", "First attempts of requests.",
+                   it.first_attempts);
+    to.set_counter("fuchsiaproxy_entry_extra_attempts_total", "Attempts within the budget.",
+                   it.extra_attempts);
+    to.set_counter("fuchsiaproxy_entry_over_budget_total", "Extra attempts that were not allowed.",
+                   it.over_budget);
+    to.set_counter("fuchsiaproxy_entry_unsent_attempts_total",
+                   "Attempts that did not reach their upstream.", it.unsent_attempts);
+    to.set_counter("fuchsiaproxy_entry_refused_attempts_total", "Attempts refused by an upstream.",
+                   it.refused_by_upstreams);
+    to.set_counter("fuchsiaproxy_entry_failed_attempts_total", "Attempts whose outcome is unknown.",
+                   it.failed_attempts);
+    to.set_counter("fuchsiaproxy_entry_stale_configurations_total",
+                   "Configurations older than the one in force.", it.stale_configurations);
+    to.gauge("fuchsiaproxy_entry_open_requests", "Requests that have not ended.",
+             from.open_requests());
+    to.gauge("fuchsiaproxy_entry_configuration_version", "Version in force; 0 if none.",
+             from.version().value());
+}
+
+void add_connections(page_metrics& to, gateway const& from)
+{
+    auto const& callers = from.server_counts();
+    to.set_counter("fuchsiaproxy_entry_caller_connections_total", "Connections of callers.",
+                   callers.accepted);
+    to.set_counter("fuchsiaproxy_entry_bad_requests_total", "Malformed requests.",
+                   callers.bad_requests);
+    auto const& upstreams = from.client_counts();
+    to.set_counter("fuchsiaproxy_entry_upstream_connections_total",
+                   "Connections opened to upstreams.", upstreams.connects);
+    to.set_counter("fuchsiaproxy_entry_upstream_connections_failed_total",
+                   "Connections to upstreams that failed.", upstreams.connects_failed);
+    to.set_counter("fuchsiaproxy_entry_upstream_connections_reused_total",
+                   "Attempts on a connection that was open.", upstreams.reused);
+    to.set_counter("fuchsiaproxy_entry_broken_answers_total", "Answers that broke off.",
+                   upstreams.broken);
+    to.set_counter("fuchsiaproxy_entry_foreign_answers_total",
+                   "Answers that belonged to an earlier request.", upstreams.foreign_answers);
+}
+
+} // namespace
+
+std::string metrics_text(gateway const& from, gossip::exchange_counters const& exchange)
+{
+    page_metrics to;
+    add_decisions(to, from.decisions());
+    add_connections(to, from);
+    to.set_counter("fuchsiaproxy_entry_loads_sent_total", "Loads sent to other entries.",
+                   exchange.sent);
+    to.set_counter("fuchsiaproxy_entry_loads_received_total", "Loads of other entries.",
+                   exchange.received);
+    to.set_counter("fuchsiaproxy_entry_loads_unreadable_total", "Datagrams that could not be read.",
+                   exchange.unreadable);
+    to.histogram("fuchsiaproxy_entry_attempt_seconds", "Time of attempts, from choice to end.",
+                 from.attempt_times());
+    return to.text();
+}
+
+} // namespace fuchsiaproxy::gateway
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include "entry_metrics.hpp"
 #include "fuchsiaproxy/gossip/load_exchange.hpp"
 #include "fuchsiaproxy/runtime/asio_timer_service.hpp"
 #include "fuchsiaproxy/runtime/duty_thread.hpp"
@@ -47,6 +49,11 @@
     {
         add_page(settings.look_ups, settings.look_up_page);
         add_page(settings.readiness, settings.readiness_page);
+        add_page(settings.metrics,
+                 [this](gateway const& from, std::string_view) {
+                     return page{200, "text/plain; version=0.0.4",
+                                 metrics_text(from, exchange_.counters())};
+                 });
     }
 
     base::result<void> listen()
@@ -84,6 +91,12 @@
         boost::asio::post(thread_.io(), [this, done = std::move(done)] { gateway_.drain(done); });
     }
 
+    /// Replaces the operators' bounds. Thread safe.
+    void set_bounds(steering::operator_bounds const& bounds)
+    {
+        boost::asio::post(thread_.io(), [this, bounds] { gateway_.set_bounds(bounds); });
+    }
+
 private:
     void send_load_later(std::size_t near_peers)
     {
@@ -126,25 +139,106 @@
     std::vector<std::unique_ptr<page_server>> pages_;
 };
 
-/// Blocks until the process is told to stop.
-int wait_for_stop()
+/// Blocks until the process is told to stop, and calls `reload` on SIGHUP and from time to time.
+class signal_waiter
 {
-    boost::asio::io_context io(1);
-    boost::asio::signal_set stop(io, SIGTERM, SIGINT);
-    int received = 0;
-    stop.async_wait([&](boost::system::error_code const&, int number) { received = number; });
-    io.run();
-    return received;
-}
+public:
+    signal_waiter(base::duration reload_period, std::function<void(std::string_view why)> reload)
+        : reload_(std::move(reload)), reload_period_(reload_period)
+    {
+        wait_for_hang_up();
+        wait_for_period();
+        stop_.async_wait(
+            [this](boost::system::error_code const&, int number)
+            {
+                received_ = number;
+                io_.stop();
+            });
+    }
+
+    int wait()
+    {
+        io_.run();
+        return received_;
+    }
+
+private:
+    void wait_for_hang_up()
+    {
+        hang_up_.async_wait(
+            [this](boost::system::error_code const&, int)
+            {
+                reload_("signal");
+                wait_for_hang_up();
+            });
+    }
+
+    void wait_for_period()
+    {
+        timer_.expires_after(reload_period_);
+        timer_.async_wait(
+            [this](boost::system::error_code const&)
+            {
+                reload_("period");
+                wait_for_period();
+            });
+    }
+
+    boost::asio::io_context io_{1};
+    boost::asio::signal_set stop_{io_, SIGTERM, SIGINT};
+    boost::asio::signal_set hang_up_{io_, SIGHUP};
+    boost::asio::steady_timer timer_{io_};
+    std::function<void(std::string_view)> reload_;
+    base::duration reload_period_;
+    int received_ = 0;
+};
+
+/// Puts changed settings in force.
+class settings_reloader
+{
+public:
+    settings_reloader(entry_settings const& settings, traffic_duty& traffic, log_function log)
+        : read_(settings.reload_bounds), known_(settings.traffic.director.bounds),
+          traffic_(traffic), log_(std::move(log))
+    {
+    }
+
+    void reload(std::string_view why)
+    {
+        auto const read = read_ ? read_() : base::result<steering::operator_bounds>(known_);
+        if (!read)
+        {
+            log_("settings_refused", {{"why", read.error().message}});
+            return;
+        }
+        auto const changed = !(read.value() == known_);
+        if (changed)
+        {
+            known_ = read.value();
+            traffic_.set_bounds(known_);
+        }
+        if (changed || why == "signal")
+        {
+            log_("settings_reloaded",
+                 {{"because_of", std::string(why)}, {"changed", changed ? "yes" : "no"}});
+        }
+    }
+
+private:
+    std::function<base::result<steering::operator_bounds>()> read_;
+    steering::operator_bounds known_;
+    traffic_duty& traffic_;
+    log_function log_;
+};
 
 } // namespace
 
 base::result<void> run_entry(entry_settings settings)
 {
-    // A signal is handled by the thread that waits for it.
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN); // Until the settings can be read again.
     auto const seed = draw_seed();
-    telemetry::state_log lines(settings.log_level);
+    telemetry::state_log lines(settings.log_level, telemetry::log_form::json_on_stdout);
     log_function const log = [&lines](std::string event, std::vector<log_field> fields)
     { lines.write(telemetry::log_level::info, std::move(event), std::move(fields)); };
 
@@ -169,7 +263,10 @@
     traffic.thread().start();
     control.start();
 
-    auto const received = wait_for_stop();
+    settings_reloader reloader(settings, traffic, log);
+    signal_waiter signals(settings.reload_period,
+                          [&](std::string_view why) { reloader.reload(why); });
+    auto const received = signals.wait();
     log("stopping", {{"signal", std::to_string(received)}});
     control.push([&] { plane->withdraw(); });
     std::promise<std::size_t> drained;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,16 @@
     return std::to_string(ms / 1000) + "." + fraction;
 }
 
+// Of the attempts that went well, one in so many gets a line.
+constexpr std::uint64_t success_sample = 64;
+
+std::string rounded_text(double it)
+{
+    auto const hundredths = static_cast<long long>(it * 100 + 0.5);
+    auto const fraction = std::to_string(100 + hundredths % 100).substr(1);
+    return std::to_string(hundredths / 100) + "." + fraction;
+}
+
 std::string ms_text(base::duration it)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
@@ -59,6 +69,16 @@
     schedule_tick();
 }
 
+void gateway::set_bounds(steering::operator_bounds const& bounds)
+{
+    director_.set_bounds(bounds);
+}
+
+latency_buckets const& gateway::attempt_times() const
+{
+    return attempt_times_;
+}
+
 void gateway::on_peer_load(steering::peer_load const& it)
 {
     director_.on_peer_load(it, timers_.now());
@@ -99,13 +119,16 @@
     steering::director_actions out;
     if (refusing_)
     {
-        out.push_back(steering::answer_error{head.id, base::error_kind::draining,
-                                             settings_.director.retry_after});
+        steering::answer_error refused{head.id, base::error_kind::draining,
+                                       settings_.director.retry_after};
+        refused.trace_id = head.fields.find(settings_.fields.request_id).value_or("");
+        out.push_back(std::move(refused));
         perform(out);
         return;
     }
     steering::arrived_request it;
     it.id = head.id;
+    it.trace_id = head.fields.find(settings_.fields.request_id).value_or(std::string_view());
     it.host = head.fields.find("Host").value_or(std::string_view());
     it.target = head.target;
     it.affinity_key = cookie_value(head.fields, settings_.fields.affinity_cookie);
@@ -176,6 +199,15 @@
 
 void gateway::perform_one(steering::answer_error& it)
 {
+    log_("request_failed", {{"request", std::move(it.trace_id)},
+                            {"route", std::move(it.route)},
+                            {"error", std::string(base::name_of(it.kind))},
+                            {"status", std::to_string(base::answer_for(it.kind).http_status)},
+                            {"configuration", std::to_string(it.version.value())},
+                            {"attempts", std::to_string(it.attempts)},
+                            {"expected_ms", ms_text(it.expected)},
+                            {"service_load", rounded_text(it.service_load)},
+                            {"retry_after_ms", ms_text(it.retry_after)}});
     http::fields fields;
     if (it.retry_after > base::duration{})
     {
@@ -200,19 +232,27 @@
 
 void gateway::perform_one(steering::attempt_explained& it)
 {
-    log_("attempt", {{"request", std::to_string(it.request.value())},
-                     {"route", it.route},
-                     {"upstream", it.upstream.value()},
-                     {"configuration", std::to_string(it.version.value())},
-                     {"object", std::to_string(it.object)},
-                     {"rank", std::to_string(it.rank)},
-                     {"expected_ms", ms_text(it.expected)},
-                     {"took_ms", ms_text(it.took)},
-                     {"in_flight", std::to_string(it.in_flight)},
-                     {"foreign", std::to_string(it.foreign)},
-                     {"report_age_ms", it.report_age ? ms_text(*it.report_age) : "none"},
-                     {"result", std::string(base::name_of(it.result))},
-                     {"status", std::to_string(it.status)}});
+    auto const failed = it.result != base::attempt_result::completed || it.status >= 500;
+    attempt_times_.take(it.took);
+    if (!failed && ++successes_ % success_sample != 0)
+    {
+        return; // The counters have it; a line for each would cost more than the request.
+    }
+    log_(failed ? "attempt_failed" : "attempt_sampled",
+         {{"request", std::move(it.trace_id)},
+          {"attempt", std::to_string(it.attempt.value())},
+          {"route", std::move(it.route)},
+          {"upstream", it.upstream.value()},
+          {"configuration", std::to_string(it.version.value())},
+          {"object", std::to_string(it.object)},
+          {"rank", std::to_string(it.rank)},
+          {"expected_ms", ms_text(it.expected)},
+          {"took_ms", ms_text(it.took)},
+          {"in_flight", std::to_string(it.in_flight)},
+          {"others_in_flight", rounded_text(it.foreign)},
+          {"report_age_ms", it.report_age ? ms_text(*it.report_age) : "none"},
+          {"result", std::string(base::name_of(it.result))},
+          {"status", std::to_string(it.status)}});
 }
 
 void gateway::schedule_tick()
--- /dev/null
+++ b/src/gossip/load_codec_test.cpp
@@ -0,0 +1,46 @@
+#include <string>
+
+#include "fuchsiaproxy/gossip/load_exchange.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+
+namespace
+{
+
+steering::peer_load sample()
+{
+    return {base::instance_id("e1"), 7, {{0xffffffffU, 3, 250}, {1, 0, 100}}};
+}
+
+} // namespace
+
+TEST_GROUP(load_codec){};
+
+TEST(load_codec, what_is_written_is_read)
+{
+    auto const read = gossip::parse_load(gossip::to_cbor(sample()));
+    CHECK(read.has_value());
+    CHECK(read.value().from == base::instance_id("e1"));
+    LONGS_EQUAL(7, read.value().sequence);
+    LONGS_EQUAL(2, read.value().upstreams.size());
+    CHECK(read.value().upstreams[0].upstream == 0xffffffffU);
+    LONGS_EQUAL(3, read.value().upstreams[0].in_flight);
+    LONGS_EQUAL(250, read.value().upstreams[0].pace_percent);
+}
+
+// Guards against a datagram of another program that ends the process or is taken for a load.
+TEST(load_codec, anything_else_is_refused)
+{
+    auto const whole = gossip::to_cbor(sample());
+    for (std::size_t n = 0; n < whole.size(); ++n)
+    {
+        CHECK_FALSE(gossip::parse_load(whole.substr(0, n)).has_value());
+    }
+    for (std::string const text :
+         {"\x80", "\xa0", "\x84\x02\x61\x61\x01\x80", "\x84\x01\x61\x61\x01\x81\x01", "hello"})
+    {
+        CHECK_FALSE(gossip::parse_load(text).has_value());
+    }
+}
--- a/src/include/fuchsiaproxy/gateway/entry_process.hpp
+++ b/src/include/fuchsiaproxy/gateway/entry_process.hpp
@@ -55,6 +55,7 @@
     steering::director_identity self;
     std::optional<model::endpoint> look_ups;
     std::optional<model::endpoint> readiness;
+    std::optional<model::endpoint> metrics;
     /// Where loads of other entries arrive, as datagrams.
     model::endpoint peers;
     /// Period of the loads that are sent to the entries of the own region, up to `peer_fleet` of
@@ -65,11 +66,16 @@
     gateway_page look_up_page;
     gateway_page readiness_page;
     std::function<std::unique_ptr<control_plane>(control_context)> make_control;
+    /// Reads the settings that may change while the process runs.
+    std::function<base::result<steering::operator_bounds>()> reload_bounds;
+    /// Period at which the settings are read again without a signal.
+    base::duration reload_period = std::chrono::seconds(5);
     std::string log_level = "info";
 };
 
-/// Runs an entry until SIGTERM or SIGINT: a thread for the traffic and one for the control plane,
-/// joined by a bounded ring. Fails with `invalid_settings` if an address cannot be listened on.
+/// Runs an entry until SIGTERM or SIGINT; SIGHUP makes it read its settings again: a thread for the
+/// traffic and one for the control plane, joined by a bounded ring. Fails with `invalid_settings`
+/// if an address cannot be listened on.
 base::result<void> run_entry(entry_settings settings);
 
 } // namespace fuchsiaproxy::gateway
--- a/src/include/fuchsiaproxy/gateway/gateway.hpp
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/timer_service.hpp"
 #include "fuchsiaproxy/callers/server.hpp"
+#include "fuchsiaproxy/gateway/latency_buckets.hpp"
 #include "fuchsiaproxy/http/buffer_pool.hpp"
 #include "fuchsiaproxy/relay/relay.hpp"
 #include "fuchsiaproxy/steering/director.hpp"
@@ -85,6 +86,9 @@
     /// called once.
     void drain(std::function<void(std::size_t left)> done);
 
+    /// Replaces the operators' bounds.
+    void set_bounds(steering::operator_bounds const& bounds);
+
     /// Takes the load that another entry puts on the upstreams.
     void on_peer_load(steering::peer_load const& it);
 
@@ -97,6 +101,9 @@
     /// Returns the addresses of the entries for a caller in `zone`.
     std::vector<std::string> look_up(base::availability_zone_id const& zone) const;
 
+    /// Returns how long attempts took.
+    latency_buckets const& attempt_times() const;
+
     steering::director const& decisions() const;
     callers::server_counters const& server_counts() const;
     upstreams::client_counters const& client_counts() const;
@@ -130,6 +137,8 @@
     base::time_point wakeup_at_ = base::time_point::max();
     std::vector<std::unique_ptr<base::timer_subscription>> drain_steps_;
     std::function<void(std::size_t)> drained_;
+    latency_buckets attempt_times_;
+    std::uint64_t successes_ = 0;
     bool draining_ = false;
     bool refusing_ = false;
 };
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -27,6 +27,8 @@
 struct arrived_request
 {
     base::local_request_id id;
+    /// Id that the caller gave the request; for logs.
+    std::string_view trace_id;
     std::string_view host;
     /// Path with query.
     std::string_view target;
@@ -74,6 +76,14 @@
     base::error_kind kind = base::error_kind::internal;
     /// When the caller may come back; zero if there is nothing to come back for.
     base::duration retry_after{};
+    /// What decided it, for logs: the route, empty if none was found; the load per slot of the
+    /// service and the time to an answer that was expected, zero if no upstream was chosen.
+    std::string trace_id{};
+    std::string route{};
+    base::config_version version{};
+    double service_load = 0;
+    base::duration expected{};
+    std::uint32_t attempts = 0;
 };
 
 /// The upstream gets no new work; its idle connections can be closed.
@@ -91,7 +101,7 @@
 /// Why an attempt was sent where it was, and how it ended; for logs.
 struct attempt_explained
 {
-    base::local_request_id request;
+    std::string trace_id;
     base::attempt_id attempt;
     std::string route;
     base::upstream_id upstream;
@@ -175,6 +185,9 @@
     void on_caller_gone(base::local_request_id request, base::time_point now,
                         director_actions& out);
 
+    /// Replaces the operators' bounds.
+    void set_bounds(operator_bounds const& bounds);
+
     /// Takes the load that another entry puts on the upstreams.
     void on_peer_load(peer_load const& it, base::time_point now);
 
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -24,6 +24,14 @@
     /// the allowance.
     double cold_rate_factor = 1.5;
     double cold_rate_allowance = 5;
+
+    friend bool operator==(operator_bounds const& a, operator_bounds const& b)
+    {
+        return a.extra_attempt_ratio == b.extra_attempt_ratio &&
+               a.extra_attempt_slack == b.extra_attempt_slack &&
+               a.budget_window == b.budget_window && a.cold_rate_factor == b.cold_rate_factor &&
+               a.cold_rate_allowance == b.cold_rate_allowance;
+    }
 };
 
 /// Tunable numbers of a `director`.
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include "fuchsiaproxy/metadata/store_follower.hpp"
 #include "../testing/manual_timer_service.hpp"
+#include "fuchsiaproxy/metadata/store_follower.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- /dev/null
+++ b/src/relay/held_answers_test.cpp
@@ -0,0 +1,160 @@
+#include <memory>
+#include <string>
+
+#include "relay_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::relay;
+using base::attempt_result;
+using testing::raw_peer;
+
+namespace
+{
+
+constexpr std::size_t held = 64;
+
+/// Upstreams that return the request's `Id` and may end a body with the connection.
+class echoing final : public upstreams::dialect
+{
+public:
+    std::string_view deadline_field() const override
+    {
+        return "Left-Ms";
+    }
+    bool is_refusal(unsigned, http::fields const& answer,
+                    std::vector<unsigned> const&) const override
+    {
+        return answer.find("Not-Run").has_value();
+    }
+    bool belongs(http::fields const& answer, http::fields const& request) const override
+    {
+        return answer.find("Id") == request.find("Id");
+    }
+    bool body_may_end_with_connection() const override
+    {
+        return true;
+    }
+    bool is_leaving(http::fields const&) const override
+    {
+        return false;
+    }
+    std::optional<base::load_report> load(http::fields const&) const override
+    {
+        return base::load_report{3, 1, 4, 250};
+    }
+};
+
+upstreams::client_settings echoing_upstreams()
+{
+    upstreams::client_settings made;
+    made.upstream_dialect = std::make_shared<echoing>();
+    return made;
+}
+
+std::string answer_to(std::string const& id, std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(held_answers)
+{
+    data_path path{echoing_upstreams(), {}, held};
+    raw_peer caller{path.io, path.port};
+
+    /// Sends a request with an id and waits until its attempt is at the upstream.
+    raw_peer& request(std::string const& id)
+    {
+        path.events.on_request = [this](callers::request_head const& head)
+        { path.attempt(head.id, path.upstream.at()); };
+        caller.send(get("/a", "Id: " + id + "\r\n"));
+        CHECK(path.until(
+            [&]() {
+                return !path.upstream.peers.empty() &&
+                       path.upstream.peers.back()->has("Id: " + id + "\r\n");
+            }));
+        return *path.upstream.peers.back();
+    }
+};
+
+// Guards against the begin of an answer that cannot be taken back when the rest does not come.
+TEST(held_answers, a_short_answer_that_breaks_off_is_not_begun)
+{
+    auto& peer = request("1");
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhello");
+    peer.close();
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::broken);
+    CHECK(path.events.heads.empty());
+    CHECK(caller.text().empty());
+    CHECK(path.mover.can_attempt(base::local_request_id(1)));
+}
+
+// Guards against an answer that is kept for ever because it is longer than is held.
+TEST(held_answers, a_long_answer_is_passed_on_as_it_comes)
+{
+    auto& peer = request("1");
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1000\r\n\r\n" + std::string(500, 'x'));
+    CHECK(path.until([&]() { return caller.has(std::string(500, 'x')); }));
+    peer.send(std::string(500, 'y'));
+    CHECK(path.until([&]() { return caller.has(std::string(500, 'y')); }));
+    CHECK(caller.has("Content-Length: 1000\r\n"));
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::completed);
+}
+
+TEST(held_answers, the_load_that_the_answer_states_is_reported)
+{
+    request("1").send(answer_to("1", "hello"));
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    auto const load = path.events.finished[0].report.load;
+    CHECK(load.has_value());
+    LONGS_EQUAL(250, load->pace_percent);
+}
+
+// Guards against a second answer to an earlier request that is taken for the answer to this one.
+TEST(held_answers, an_answer_to_another_request_is_skipped)
+{
+    auto& peer = request("2");
+    peer.send(answer_to("1", "stale") + answer_to("2", "fresh"));
+    CHECK(path.until([&]() { return caller.has("fresh"); }));
+    CHECK_FALSE(caller.has("stale"));
+    LONGS_EQUAL(1, path.client.counters().foreign_answers);
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    LONGS_EQUAL(0, path.client.idle_connections());
+}
+
+TEST(held_answers, an_answer_to_another_request_may_come_in_pieces)
+{
+    auto& peer = request("2");
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nstale");
+    CHECK(path.until([&]() { return path.client.counters().foreign_answers == 1; }));
+    peer.send("stale" + answer_to("2", "fresh"));
+    CHECK(path.until([&]() { return caller.has("fresh"); }));
+    CHECK_FALSE(caller.has("stale"));
+}
+
+// Guards against a whole answer without a length that is reported as broken.
+TEST(held_answers, a_body_may_end_with_its_connection)
+{
+    auto& peer = request("1");
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhello");
+    CHECK(path.until([&]() { return path.events.heads.empty() && peer.sent() > 0; }));
+    peer.half_close();
+    CHECK(path.until([&]() { return caller.has("hello"); }));
+    CHECK(caller.has("Content-Length: 5\r\n"));
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::completed);
+}
+
+TEST(held_answers, a_refusal_proves_that_the_request_has_not_run)
+{
+    request("1").send("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::shed);
+    CHECK(caller.text().empty());
+}
--- a/src/relay/relay_fixture.hpp
+++ b/src/relay/relay_fixture.hpp
@@ -59,8 +59,9 @@
 struct data_path
 {
     explicit data_path(upstreams::client_settings client_limits = {},
-                       callers::server_settings server_limits = {})
-        : client(io, timers, buffers, client_limits), mover(io, buffers, client, events),
+                       callers::server_settings server_limits = {}, std::size_t held_bytes = 0)
+        : client(io, timers, buffers, client_limits),
+          mover(io, buffers, client, events, held_bytes),
           server(io, timers, buffers, mover, at_loopback(std::move(server_limits)))
     {
         port = server.listen().value();
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -60,8 +60,15 @@
 {
     auto const retryable = base::answer_for(kind).http_status == 503;
     counters.refused += retryable ? 1 : 0;
-    out.push_back(
-        answer_error{it->first, kind, retryable ? settings.retry_after : base::duration{}});
+    auto const& request = it->second;
+    answer_error made{it->first, kind, retryable ? settings.retry_after : base::duration{}};
+    made.trace_id = request.trace_id;
+    made.route = request.of->name;
+    made.version = request.config->version;
+    made.service_load = request.service_load;
+    made.expected = request.expected;
+    made.attempts = static_cast<std::uint32_t>(request.tried.size());
+    out.push_back(std::move(made));
     it->second.answered = true;
     forget_if_ended(it);
 }
@@ -96,6 +103,9 @@
     query.tried = &request.tried;
     show_peer_loads(request.service);
     auto const chosen = choice.pick(upstreams.of(request.service), query, now);
+    request.service_load = chosen.service_load;
+    request.expected =
+        std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(chosen.expected));
     if (!chosen.upstream)
     {
         end(it, request.may_have_run ? error_kind::upstream_failed : error_kind::no_upstream, out);
@@ -137,7 +147,8 @@
     {
         return true;
     }
-    if (request.came_back)
+    // The rate of a cold upstream is bounded already; without requests it would stay cold.
+    if (request.came_back || chosen.upstream->is_cold(now))
     {
         return chosen.wait <= 0;
     }
@@ -160,6 +171,7 @@
     attempt_state made{it->first, chosen.upstream, now, chosen.rank,
                        upstream.slowdown(now, memory)};
     made.waited = chosen.wait > 0;
+    made.why.trace_id = request.trace_id;
     made.why.route = request.of->name;
     made.why.version = request.config->version;
     made.why.object = request.object;
@@ -225,7 +237,6 @@
                               director_actions& out) const
 {
     auto& why = it.why;
-    why.request = it.request;
     why.upstream = it.upstream->record.id;
     why.rank = it.rank;
     why.took = now - it.started;
@@ -261,19 +272,25 @@
     if (!my.config)
     {
         ++my.counters.refused;
-        out.push_back(answer_error{it.id, error_kind::not_ready, my.settings.retry_after});
+        answer_error made{it.id, error_kind::not_ready, my.settings.retry_after};
+        made.trace_id = it.trace_id;
+        out.push_back(std::move(made));
         return;
     }
     auto const* const found = my.routes.find(it.host, it.target);
     if (found == nullptr)
     {
         ++my.counters.unknown_routes;
-        out.push_back(answer_error{it.id, error_kind::unknown_service, {}});
+        answer_error made{it.id, error_kind::unknown_service};
+        made.trace_id = it.trace_id;
+        made.version = my.config->version;
+        out.push_back(std::move(made));
         return;
     }
     request_state request;
     request.config = my.config;
     request.of = found;
+    request.trace_id = it.trace_id;
     request.service = my.next_service(*found);
     request.work = &my.works.of(found->name, request.service, found->latency_goal);
     request.object = it.affinity_key.empty() ? 0 : hash_of(it.affinity_key);
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -39,6 +39,12 @@
     }
 }
 
+void director::set_bounds(operator_bounds const& bounds)
+{
+    state_->settings.bounds = bounds;
+    state_->budgets.clear();
+}
+
 void director::on_peer_load(peer_load const& it, base::time_point now)
 {
     auto& my = *state_;
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -24,6 +24,7 @@
     /// Keeps `of` alive.
     std::shared_ptr<configuration const> config;
     route const* of = nullptr;
+    std::string trace_id;
     base::service_id service;
     /// Lives as long as the director.
     route_work* work = nullptr;
@@ -39,6 +40,9 @@
     bool counted = false;
     /// The caller has had an answer before, and has not much time left.
     bool came_back = false;
+    /// Of the last choice of an upstream.
+    double service_load = 0;
+    base::duration expected{};
     bool may_have_run = false;
     bool answered = false;
     bool caller_gone = false;
--- /dev/null
+++ b/src/steering/director_test.cpp
@@ -0,0 +1,497 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fuchsiaproxy/steering/director.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::steering;
+using namespace std::chrono_literals;
+using base::attempt_result;
+using base::error_kind;
+
+namespace
+{
+
+director_identity identity()
+{
+    director_identity made;
+    made.id = base::instance_id("e1");
+    made.zone = base::availability_zone_id("north-a");
+    made.region = base::region_id("north");
+    made.zones = {{made.zone, made.region},
+                  {base::availability_zone_id("south-a"), base::region_id("south")}};
+    return made;
+}
+
+route route_of(std::string const& name, bool idempotent, std::string const& service)
+{
+    route made;
+    made.name = name;
+    made.host = "h.example";
+    made.prefix = "/" + name + "/";
+    made.idempotent = idempotent;
+    made.timeout = 3s;
+    made.latency_goal = 400ms;
+    made.split = {{base::service_id(service), 1}};
+    made.max_attempts = 2;
+    made.affinity = true;
+    return made;
+}
+
+configuration configuration_of(std::uint64_t version)
+{
+    configuration made;
+    made.version = base::config_version(version);
+    made.routes = {route_of("read", true, "s1"), route_of("order", false, "s1")};
+    service s1;
+    s1.id = base::service_id("s1");
+    s1.cold_start = 3s;
+    s1.cold_requests_per_s = 5;
+    made.services.emplace(s1.id, s1);
+    return made;
+}
+
+upstream_record upstream(std::string const& id, std::string const& zone = "north-a")
+{
+    upstream_record made;
+    made.id = base::upstream_id(id);
+    made.service = base::service_id("s1");
+    made.at = {"10.0.0." + id.substr(1), 80};
+    made.zone = base::availability_zone_id(zone);
+    made.slots = 4;
+    return made;
+}
+
+attempt_end ended(attempt_result result, unsigned status = 0)
+{
+    attempt_end made;
+    made.result = result;
+    made.status = status;
+    made.sent = result != attempt_result::not_sent && result != attempt_result::connect_failed;
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(director)
+{
+    director_settings settings;
+    director it{settings, identity(), 1};
+    base::time_point now{1h};
+    std::uint64_t last_request = 0;
+    director_actions out;
+
+    void tell(control_event const& event)
+    {
+        it.on_control(event, now, out);
+    }
+    void configure(configuration made = configuration_of(1))
+    {
+        tell(configuration_accepted{std::make_shared<configuration const>(std::move(made))});
+        out.clear();
+    }
+    void serve(std::vector<std::string> const& ids)
+    {
+        upstreams_listed listed;
+        for (auto const& id : ids)
+        {
+            listed.all.push_back(upstream(id));
+        }
+        tell(listed);
+        out.clear();
+    }
+    base::local_request_id request(std::string const& path, std::string const& object = "o",
+                                   base::duration left = 3s)
+    {
+        arrived_request made;
+        made.id = base::local_request_id(++last_request);
+        made.host = "h.example";
+        made.target = path;
+        made.affinity_key = object;
+        made.deadline = now + left;
+        out.clear();
+        it.on_request(made, now, out);
+        return made.id;
+    }
+    template <class Action>
+    Action const* action() const
+    {
+        for (auto const& one : out)
+        {
+            if (auto const* const found = std::get_if<Action>(&one))
+            {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+    start_attempt started() const
+    {
+        auto const* const found = action<start_attempt>();
+        CHECK(found != nullptr);
+        return *found;
+    }
+    error_kind refused() const
+    {
+        auto const* const found = action<answer_error>();
+        CHECK(found != nullptr);
+        return found->kind;
+    }
+    void finish(start_attempt const& which, attempt_end const& end)
+    {
+        out.clear();
+        it.on_attempt_finished(which.attempt, end, now, out);
+    }
+    /// Runs a request to its end and returns the upstream that served it.
+    std::string serve_one(std::string const& path, std::string const& object = "o")
+    {
+        request(path, object);
+        auto const which = started();
+        it.on_attempt_head(which.attempt, 200, now, out);
+        finish(which, ended(attempt_result::completed, 200));
+        return which.upstream.value();
+    }
+};
+
+// Guards against a 404 for requests that a configuration allows which has not been read yet.
+TEST(director, without_a_configuration_requests_are_not_run)
+{
+    request("/read/a");
+    CHECK(refused() == error_kind::not_ready);
+    CHECK(action<answer_error>()->retry_after > 0ms);
+}
+
+TEST(director, requests_without_a_route_are_unknown)
+{
+    configure();
+    serve({"u1"});
+    request("/other/a");
+    CHECK(refused() == error_kind::unknown_service);
+    request("/read");
+    CHECK(refused() == error_kind::unknown_service);
+}
+
+// Guards against an order that is sent again although it may have run.
+TEST(director, a_broken_order_is_not_repeated)
+{
+    configure();
+    serve({"u1", "u2"});
+    request("/order/a");
+    finish(started(), ended(attempt_result::broken));
+    CHECK(refused() == error_kind::upstream_failed);
+    request("/order/b");
+    finish(started(), ended(attempt_result::timed_out));
+    CHECK(refused() == error_kind::upstream_timeout);
+}
+
+TEST(director, an_order_that_was_refused_goes_to_another_upstream)
+{
+    configure();
+    serve({"u1", "u2"});
+    request("/order/a");
+    auto const first = started();
+    finish(first, ended(attempt_result::shed, 503));
+    auto const second = started();
+    CHECK(second.upstream != first.upstream);
+    finish(second, ended(attempt_result::shed, 503));
+    CHECK(refused() == error_kind::overloaded);
+}
+
+// Guards against more upstreams for one request than its route allows.
+TEST(director, attempts_are_bounded_by_the_route)
+{
+    configure();
+    serve({"u1", "u2", "u3", "u4"});
+    request("/read/a");
+    finish(started(), ended(attempt_result::broken));
+    finish(started(), ended(attempt_result::broken));
+    CHECK(refused() == error_kind::upstream_failed);
+}
+
+// Guards against "not run" for a request whose first attempt may have run.
+TEST(director, a_refusal_after_a_broken_attempt_does_not_prove_that_nothing_ran)
+{
+    configure();
+    serve({"u1", "u2"});
+    request("/read/a");
+    finish(started(), ended(attempt_result::broken));
+    finish(started(), ended(attempt_result::shed, 503));
+    CHECK(refused() == error_kind::upstream_failed);
+}
+
+TEST(director, a_failed_connection_costs_no_attempt)
+{
+    configure();
+    serve({"u1", "u2", "u3"});
+    request("/order/a");
+    finish(started(), ended(attempt_result::connect_failed));
+    finish(started(), ended(attempt_result::connect_failed));
+    auto const third = started();
+    it.on_attempt_head(third.attempt, 200, now, out);
+    LONGS_EQUAL(0, it.counters().extra_attempts);
+}
+
+// Guards against retries that each entry spends as if it were alone.
+TEST(director, repeats_stay_within_this_entrys_part_of_the_budget)
+{
+    entries_listed entries;
+    for (int n = 1; n <= 12; ++n)
+    {
+        entries.all.push_back({base::instance_id("e" + std::to_string(n)),
+                               base::availability_zone_id("north-a"), base::region_id("north"), "",
+                               ""});
+    }
+    tell(entries);
+    configure();
+    serve({"u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8"});
+    constexpr int requests = 200;
+    for (int n = 0; n < requests; ++n)
+    {
+        request("/read/a", std::to_string(n));
+        finish(started(), ended(attempt_result::shed, 503));
+        if (auto const* const again = action<start_attempt>())
+        {
+            auto const which = *again;
+            it.on_attempt_head(which.attempt, 200, now, out);
+            finish(which, ended(attempt_result::completed, 200));
+        }
+    }
+    auto const& bounds = settings.bounds;
+    auto const most = requests * bounds.extra_attempt_ratio + bounds.extra_attempt_slack / 12;
+    CHECK(static_cast<double>(it.counters().extra_attempts) <= most);
+    CHECK(it.counters().extra_attempts > requests / 10);
+}
+
+// Guards against work for an upstream that is leaving, has left, or whose address has another one.
+TEST(director, upstreams_that_leave_get_no_new_work)
+{
+    configure();
+    serve({"u1"});
+    auto leaving = upstream("u1");
+    leaving.draining = true;
+    tell(upstream_changed{leaving});
+    CHECK(action<upstream_left>() != nullptr);
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+
+    serve({"u2"});
+    request("/order/a");
+    auto wrong = ended(attempt_result::shed, 421);
+    wrong.wrong_upstream = true;
+    finish(started(), wrong);
+    CHECK(refused() == error_kind::no_upstream);
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+}
+
+TEST(director, a_restart_under_the_same_id_is_another_upstream)
+{
+    configure();
+    serve({"u1"});
+    auto leaving = upstream("u1");
+    leaving.draining = true;
+    tell(upstream_changed{leaving});
+    auto again = upstream("u1");
+    again.started_at_ms = 5;
+    tell(upstream_changed{again});
+    request("/read/a");
+    CHECK(started().upstream == base::upstream_id("u1"));
+}
+
+// Guards against work for a zone that operators have emptied.
+TEST(director, evacuated_zones_get_no_work_and_return_cold)
+{
+    configure();
+    serve({"u1"});
+    tell(zones_evacuated{{base::availability_zone_id("north-a")}});
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+    tell(zones_evacuated{{}});
+    int sent = 0;
+    for (int n = 0; n < 20; ++n)
+    {
+        request("/read/a", std::to_string(n));
+        sent += action<start_attempt>() != nullptr ? 1 : 0;
+    }
+    LONGS_EQUAL(1, sent);
+}
+
+// Guards against records that lapsed in an outage of the store and take their upstreams with them.
+TEST(director, records_that_lapse_while_the_store_is_away_are_kept_for_a_while)
+{
+    configure();
+    serve({"u1"});
+    tell(store_reachability{false});
+    tell(store_reachability{true});
+    tell(upstreams_listed{});
+    request("/read/a");
+    CHECK(action<start_attempt>() != nullptr);
+    now += settings.lapse_grace;
+    CHECK(it.next_wakeup() <= now);
+    it.tick(now, out);
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+}
+
+TEST(director, records_that_come_back_after_an_outage_stay)
+{
+    configure();
+    serve({"u1"});
+    tell(store_reachability{false});
+    tell(store_reachability{true});
+    tell(upstreams_listed{});
+    tell(upstream_changed{upstream("u1")});
+    now += settings.lapse_grace * 2;
+    it.tick(now, out);
+    request("/read/a");
+    CHECK(action<start_attempt>() != nullptr);
+}
+
+// Guards against a configuration that goes back.
+TEST(director, an_older_configuration_is_ignored)
+{
+    configure(configuration_of(7));
+    auto older = configuration_of(6);
+    older.routes.clear();
+    configure(std::move(older));
+    LONGS_EQUAL(7, it.version().value());
+    LONGS_EQUAL(1, it.counters().stale_configurations);
+}
+
+// Guards against a cold upstream that is hit by many requests at once.
+TEST(director, cold_upstreams_get_requests_at_their_rate)
+{
+    configure();
+    auto cold = upstream("u1");
+    cold.cold_for = 10s;
+    tell(upstreams_listed{{cold}});
+    int sent = 0;
+    auto const begin = now;
+    for (; now < begin + 5s; now += 10ms)
+    {
+        request("/read/a", std::to_string(now.time_since_epoch().count()));
+        if (action<start_attempt>() != nullptr)
+        {
+            ++sent;
+            auto const which = started();
+            it.on_attempt_head(which.attempt, 200, now, out);
+            finish(which, ended(attempt_result::completed, 200));
+        }
+    }
+    CHECK(sent <= 5 * 5 / static_cast<int>(settings.cold_senders) + 1);
+    CHECK(sent >= 3);
+}
+
+TEST(director, split_routes_keep_their_shares_in_short_windows)
+{
+    auto made = configuration_of(1);
+    made.routes[0].split = {{base::service_id("s1"), 90}, {base::service_id("s2"), 10}};
+    service s2;
+    s2.id = base::service_id("s2");
+    made.services.emplace(s2.id, s2);
+    configure(std::move(made));
+    auto other = upstream("u2");
+    other.service = s2.id;
+    tell(upstreams_listed{{upstream("u1"), other}});
+    int to_other = 0;
+    for (int n = 0; n < 50; ++n)
+    {
+        to_other += serve_one("/read/a") == "u2" ? 1 : 0;
+    }
+    LONGS_EQUAL(5, to_other);
+}
+
+// Guards against work that goes on for nobody, and against orders that are cut off.
+TEST(director, only_idempotent_attempts_end_with_their_caller)
+{
+    configure();
+    serve({"u1"});
+    auto const read = request("/read/a");
+    auto const attempt = started().attempt;
+    out.clear();
+    it.on_caller_gone(read, now, out);
+    CHECK(action<cancel_attempt>() != nullptr);
+    CHECK(action<cancel_attempt>()->attempt == attempt);
+    auto const order = request("/order/a");
+    out.clear();
+    it.on_caller_gone(order, now, out);
+    CHECK(action<cancel_attempt>() == nullptr);
+}
+
+// Guards against requests for one object that spread over all upstreams, each of which is cold.
+TEST(director, requests_for_one_object_stay_at_one_upstream_while_it_has_room)
+{
+    configure();
+    serve({"u1", "u2", "u3", "u4", "u5", "u6"});
+    for (std::string const object : {"a", "b", "c"})
+    {
+        std::set<std::string> used;
+        for (int n = 0; n < 10; ++n)
+        {
+            used.insert(serve_one("/read/a", object));
+        }
+        LONGS_EQUAL(1, used.size());
+    }
+}
+
+// Guards against a choice that does not see what other entries send to an upstream.
+TEST(director, the_load_of_other_entries_counts)
+{
+    configure();
+    serve({"u1", "u2", "u3"});
+    auto const home = serve_one("/read/a", "a");
+    request("/read/a", "b");
+    auto const tags = it.load(now);
+    // Another entry says that it fills the upstream.
+    director other(settings, identity(), 2);
+    peer_load load;
+    load.from = base::instance_id("e2");
+    load.sequence = 1;
+    for (auto const& one : tags.upstreams)
+    {
+        load.upstreams.push_back({one.upstream, 12, 0});
+    }
+    auto const busy = started().upstream;
+    it.on_peer_load(load, now);
+    request("/read/a", "b");
+    CHECK(started().upstream != busy);
+    now += settings.peer_memory + 1ms;
+    it.load(now);
+    request("/read/a", "b");
+    CHECK(started().upstream == busy);
+}
+
+// Guards against a busy service that fills its upstreams' queues with answers that come too late.
+TEST(director, a_busy_service_takes_only_what_it_can_serve_on_time)
+{
+    configure();
+    serve({"u1"});
+    int sent = 0;
+    for (int n = 0; n < 40; ++n)
+    {
+        request("/read/a");
+        sent += action<start_attempt>() != nullptr ? 1 : 0;
+    }
+    CHECK(sent >= 4);
+    CHECK(sent <= 12);
+    CHECK(refused() == error_kind::overloaded);
+}
+
+TEST(director, look_ups_name_the_entries_of_the_callers_region)
+{
+    tell(entries_listed{{{base::instance_id("e1"), base::availability_zone_id("north-a"),
+                          base::region_id("north"), "10.0.0.1:1", ""},
+                         {base::instance_id("e2"), base::availability_zone_id("south-a"),
+                          base::region_id("south"), "10.0.0.2:1", ""}}});
+    auto const south = it.look_up(base::availability_zone_id("south-a"));
+    LONGS_EQUAL(1, south.size());
+    CHECK(south[0] == "10.0.0.2:1");
+    tell(entry_removed{base::instance_id("e2")});
+    auto const left = it.look_up(base::availability_zone_id("south-a"));
+    CHECK(left.at(0) == "10.0.0.1:1");
+}
--- /dev/null
+++ b/src/steering/parts_test.cpp
@@ -0,0 +1,147 @@
+#include <map>
+#include <set>
+#include <string>
+
+#include "object_order.hpp"
+#include "peer_loads.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::steering;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+base::region_id const north("north");
+base::region_id const south("south");
+
+std::vector<upstream_ptr> upstreams(int of_north, int of_south)
+{
+    std::vector<upstream_ptr> made;
+    for (int n = 0; n < of_north + of_south; ++n)
+    {
+        upstream_record record;
+        record.id = base::upstream_id("u" + std::to_string(n));
+        record.slots = 4;
+        made.push_back(std::make_shared<upstream_state>(record, n < of_north ? north : south));
+    }
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(region_shares_of){};
+
+TEST(region_shares_of, what_does_not_fit_at_home_goes_where_capacity_is_left)
+{
+    std::map<base::region_id, double> const callers{{north, 1}, {south, 1}};
+    std::map<base::region_id, double> const capacity{{north, 30}, {south, 10}};
+    auto const of_north = shares_of(north, callers, capacity);
+    DOUBLES_EQUAL(1, of_north.at(north), 1e-9);
+    auto const of_south = shares_of(south, callers, capacity);
+    DOUBLES_EQUAL(0.5, of_south.at(south), 1e-9);
+    DOUBLES_EQUAL(0.5, of_south.at(north), 1e-9);
+}
+
+TEST(region_shares_of, callers_without_capacity_are_served_elsewhere)
+{
+    auto const made = shares_of(south, {{north, 1}, {south, 1}}, {{north, 10}});
+    DOUBLES_EQUAL(1, made.at(north), 1e-9);
+    DOUBLES_EQUAL(0, made.at(south), 1e-9);
+}
+
+TEST_GROUP(object_order)
+{
+    object_order order;
+};
+
+// Guards against a new order of all objects when one upstream leaves: every object would be cold.
+TEST(object_order, only_the_objects_of_an_upstream_that_leaves_move)
+{
+    auto const all = upstreams(10, 0);
+    region_shares const shares{{north, 1}};
+    std::map<int, std::size_t> before;
+    auto const first_of = [&](int object)
+    {
+        auto const& ranks = order.rank(all, hash_of(std::to_string(object)), shares);
+        for (std::size_t n = 0; n < ranks.size(); ++n)
+        {
+            if (ranks[n] == 0)
+            {
+                return n;
+            }
+        }
+        return ranks.size();
+    };
+    for (int object = 0; object < 200; ++object)
+    {
+        before[object] = first_of(object);
+    }
+    all[3]->evacuated = true;
+    for (int object = 0; object < 200; ++object)
+    {
+        auto const now = first_of(object);
+        CHECK(now != 3);
+        CHECK(now == before[object] || before[object] == 3);
+    }
+}
+
+TEST(object_order, regions_come_first_in_proportion_to_their_shares)
+{
+    auto const all = upstreams(5, 15);
+    region_shares const shares{{north, 0.8}, {south, 0.2}};
+    int at_north = 0;
+    constexpr int objects = 2000;
+    for (int object = 0; object < objects; ++object)
+    {
+        auto const& ranks = order.rank(all, hash_of(std::to_string(object)), shares);
+        for (std::size_t n = 0; n < 5; ++n)
+        {
+            at_north += ranks[n] == 0 ? 1 : 0;
+        }
+    }
+    DOUBLES_EQUAL(0.8, static_cast<double>(at_north) / objects, 0.03);
+}
+
+TEST_GROUP(peer_loads)
+{
+    peer_loads loads{1s};
+    base::time_point now{1h};
+};
+
+// Guards against a datagram that was overtaken and brings back an old load.
+TEST(peer_loads, later_messages_replace_earlier_ones)
+{
+    base::instance_id const from("e1");
+    loads.take({from, 2, {{7, 3, 0}}}, now);
+    loads.take({from, 1, {{7, 9, 0}}}, now);
+    LONGS_EQUAL(3, loads.at(7));
+    loads.take({from, 3, {{8, 1, 0}}}, now);
+    LONGS_EQUAL(0, loads.at(7));
+    LONGS_EQUAL(1, loads.at(8));
+}
+
+// Guards against the load of an entry that was killed and counts for ever.
+TEST(peer_loads, the_load_of_a_silent_entry_ends)
+{
+    loads.take({base::instance_id("e1"), 1, {{7, 3, 0}}}, now);
+    loads.take({base::instance_id("e2"), 1, {{7, 2, 0}}}, now + 900ms);
+    loads.tick(now + 1500ms);
+    LONGS_EQUAL(2, loads.at(7));
+    loads.forget(base::instance_id("e2"));
+    LONGS_EQUAL(0, loads.at(7));
+    LONGS_EQUAL(0, loads.entries());
+}
+
+// Guards against an entry that starts again and counts from the beginning, whose loads would be
+// ignored until its sequence has caught up.
+TEST(peer_loads, a_restarted_entry_is_heard_again)
+{
+    base::instance_id const from("e1");
+    loads.take({from, 50, {{7, 3, 0}}}, now);
+    loads.forget(from);
+    loads.take({from, 1, {{7, 1, 0}}}, now);
+    LONGS_EQUAL(1, loads.at(7));
+}
--- a/src/telemetry/state_log.cpp
+++ b/src/telemetry/state_log.cpp
@@ -4,14 +4,18 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
+#include <string_view>
 #include <thread>
+#include <utility>
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
 
 #include "fuchsiaproxy/base/bounded_ring.hpp"
 
@@ -21,13 +25,14 @@
 {
 
 constexpr std::size_t ring_lines = 1024;
-constexpr int lines_per_event_and_second = 2000;
+constexpr int lines_per_event_and_second = 20;
 
 struct line
 {
     log_level level = log_level::info;
     std::string event;
     std::vector<log_field> fields;
+    std::int64_t time_ms = 0;
 };
 
 log4cxx::LevelPtr level_of(log_level level)
@@ -75,12 +80,48 @@
     return text;
 }
 
-log4cxx::LoggerPtr make_logger(std::string const& level)
+std::string_view name_of(log_level level)
 {
-    auto const layout =
-        std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %m%n"));
+    switch (level)
+    {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warn:
+        return "warn";
+    case log_level::error:
+        break;
+    }
+    return "error";
+}
+
+/// Milliseconds of the system's wall clock since the Unix epoch.
+std::int64_t wall_clock_ms()
+{
+    auto const since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
+std::string json_of(line const& it)
+{
+    nlohmann::ordered_json made{
+        {"time_ms", it.time_ms}, {"level", name_of(it.level)}, {"event", it.event}};
+    for (auto const& field : it.fields)
+    {
+        made[field.first] = field.second;
+    }
+    return made.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+log4cxx::LoggerPtr make_logger(std::string const& level, log_form form)
+{
+    auto const is_json = form == log_form::json_on_stdout;
+    auto const layout = std::make_shared<log4cxx::PatternLayout>(
+        is_json ? LOG4CXX_STR("%m%n") : LOG4CXX_STR("%d{ISO8601} %p %m%n"));
     auto const appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, is_json ? log4cxx::ConsoleAppender::getSystemOut()
+                        : log4cxx::ConsoleAppender::getSystemErr());
     auto logger = log4cxx::Logger::getLogger("fuchsiaproxy");
     logger->setAdditivity(false);
     logger->removeAllAppenders();
@@ -94,8 +135,8 @@
 class state_log::impl
 {
 public:
-    explicit impl(std::string const& level)
-        : logger_(make_logger(level)), ring_(ring_lines, [this] { wake(); }),
+    impl(std::string const& level, log_form form)
+        : logger_(make_logger(level, form)), form_(form), ring_(ring_lines, [this] { wake(); }),
           thread_([this] { run(); })
     {
     }
@@ -115,7 +156,13 @@
 
     void write(line it)
     {
-        if (!within_rate(it.event))
+        it.time_ms = wall_clock_ms();
+        auto [within, left_out] = check_rate(it);
+        for (auto& one : left_out)
+        {
+            ring_.try_push(std::move(one));
+        }
+        if (!within)
         {
             ++over_rate_;
             return;
@@ -129,17 +176,32 @@
     }
 
 private:
-    bool within_rate(std::string const& event)
+    /// Returns whether the line is within its event's rate and, once in a second, lines that say
+    /// how many were not.
+    std::pair<bool, std::vector<line>> check_rate(line const& it)
     {
+        std::vector<line> left_out;
         auto const second = std::chrono::duration_cast<std::chrono::seconds>(
             std::chrono::steady_clock::now().time_since_epoch());
         std::lock_guard<std::mutex> const lock(rate_mutex_);
         if (second != rate_second_)
         {
             rate_second_ = second;
+            for (auto const& one : lines_in_second_)
+            {
+                if (one.second > lines_per_event_and_second)
+                {
+                    auto const count = one.second - lines_per_event_and_second;
+                    left_out.push_back({log_level::info,
+                                        "lines_left_out",
+                                        {{"of", one.first}, {"count", std::to_string(count)}},
+                                        it.time_ms});
+                }
+            }
             lines_in_second_.clear();
         }
-        return ++lines_in_second_[event] <= lines_per_event_and_second;
+        auto const within = ++lines_in_second_[it.event] <= lines_per_event_and_second;
+        return {within, std::move(left_out)};
     }
 
     void wake()
@@ -162,12 +224,18 @@
                 woken_up_ = false;
                 stopping = stopping_;
             }
-            ring_.drain([this](line const& it)
-                        { LOG4CXX_LOG(logger_, level_of(it.level), text_of(it)); });
+            ring_.drain(
+                [this](line const& it)
+                {
+                    auto const is_json = form_ == log_form::json_on_stdout;
+                    auto const text = is_json ? json_of(it) : text_of(it);
+                    LOG4CXX_LOG(logger_, level_of(it.level), text);
+                });
         }
     }
 
     log4cxx::LoggerPtr logger_;
+    log_form form_;
     std::mutex mutex_;
     std::condition_variable woken_;
     bool woken_up_ = false;
@@ -180,7 +248,10 @@
     std::thread thread_;
 };
 
-state_log::state_log(std::string const& level) : impl_(std::make_unique<impl>(level)) {}
+state_log::state_log(std::string const& level, log_form form)
+    : impl_(std::make_unique<impl>(level, form))
+{
+}
 
 state_log::~state_log() = default;
 
