--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -87,8 +87,9 @@
     double highest_slot_price = 4;
     /// Load per slot of a service above which a request that would be late is refused.
     double late_load = 0.9;
-    /// Part of the latency goal within which an answer must be expected for it to be on time.
-    double goal_use = 0.95;
+    /// Multiple of the latency goal within which an answer must be expected to count as on time.
+    /// The expectation is a mean, which a few long requests lift above the usual time.
+    double goal_use = 1.15;
     /// When callers of refused requests are told to come back.
     base::duration retry_after = std::chrono::milliseconds(250);
 
