Share the grace period of lapsed records; mend what the linter found

Cause: upstream_table and entry_view each kept the state of the store's outages and the same rule; the linter found four places in the new packages.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	scripts/lint $(BUILD)
 
 format:
-	find src -name '*.cpp' -o -name '*.hpp' | xargs clang-format -i
+	find src platform -name '*.cpp' -o -name '*.hpp' | xargs clang-format -i
 
 DEPLOYMENT ?= varjuvork
 
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -233,7 +233,7 @@
 
 } // namespace
 
-base::result<void> run_entry(entry_settings settings)
+base::result<void> run_entry(entry_settings const& settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN); // Until the settings can be read again.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <variant>
 
 #include "cookie.hpp"
@@ -30,7 +31,7 @@
 
 std::string rounded_text(double it)
 {
-    auto const hundredths = static_cast<long long>(it * 100 + 0.5);
+    auto const hundredths = std::lround(it * 100);
     auto const fraction = std::to_string(100 + hundredths % 100).substr(1);
     return std::to_string(hundredths / 100) + "." + fraction;
 }
--- a/src/include/fuchsiaproxy/gateway/entry_process.hpp
+++ b/src/include/fuchsiaproxy/gateway/entry_process.hpp
@@ -76,7 +76,7 @@
 /// Runs an entry until SIGTERM or SIGINT; SIGHUP makes it read its settings again: a thread for the
 /// traffic and one for the control plane, joined by a bounded ring. Fails with `invalid_settings`
 /// if an address cannot be listened on.
-base::result<void> run_entry(entry_settings settings);
+base::result<void> run_entry(entry_settings const& settings);
 
 } // namespace fuchsiaproxy::gateway
 
--- a/src/steering/entry_view.cpp
+++ b/src/steering/entry_view.cpp
@@ -9,16 +9,10 @@
 {
 
 entry_view::entry_view(director_identity const& self, base::duration lapse_grace)
-    : self_(self), lapse_grace_(lapse_grace)
+    : self_(self), guard_(lapse_grace)
 {
 }
 
-bool entry_view::may_have_lapsed(base::time_point now) const
-{
-    return !reachable_ ||
-           (regained_at_ != base::time_point::min() && now < regained_at_ + lapse_grace_);
-}
-
 void entry_view::list(std::vector<entry_record> const& all, base::time_point now)
 {
     std::set<base::instance_id> listed;
@@ -53,37 +47,33 @@
     {
         return;
     }
-    if (!may_have_lapsed(now))
+    auto const due = guard_.kept_until(now);
+    if (!due)
     {
         all_.erase(found);
         return;
     }
-    auto const back_by = (reachable_ ? regained_at_ : now) + lapse_grace_;
-    found->second.gone_at = found->second.gone_at.value_or(back_by);
+    found->second.gone_at = found->second.gone_at.value_or(*due);
 }
 
 void entry_view::store_reachable(bool reachable, base::time_point now)
 {
-    if (reachable && !reachable_)
+    if (!guard_.store_reachable(reachable, now))
     {
-        regained_at_ = now;
-        for (auto& it : all_)
-        {
-            if (it.second.gone_at)
-            {
-                it.second.gone_at = now + lapse_grace_;
-            }
-        }
+        return;
+    }
+    for (auto& it : all_)
+    {
+        auto& due = it.second.gone_at;
+        due = due ? guard_.kept_until(now) : std::nullopt;
     }
-    reachable_ = reachable;
 }
 
 void entry_view::tick(base::time_point now)
 {
-    for (auto it = all_.begin(); reachable_ && it != all_.end();)
+    for (auto it = all_.begin(); it != all_.end();)
     {
-        auto const due = it->second.gone_at && now >= *it->second.gone_at;
-        it = due ? all_.erase(it) : std::next(it);
+        it = guard_.is_over(it->second.gone_at, now) ? all_.erase(it) : std::next(it);
     }
 }
 
@@ -92,7 +82,7 @@
     auto first = base::time_point::max();
     for (auto const& it : all_)
     {
-        first = reachable_ ? std::min(first, it.second.gone_at.value_or(first)) : first;
+        first = guard_.is_reachable() ? std::min(first, it.second.gone_at.value_or(first)) : first;
     }
     return first;
 }
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -9,6 +9,7 @@
 
 #include "fuchsiaproxy/steering/director.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
+#include "lapse_guard.hpp"
 
 namespace fuchsiaproxy::steering
 {
@@ -61,13 +62,9 @@
         std::optional<base::time_point> gone_at;
     };
 
-    bool may_have_lapsed(base::time_point now) const;
-
     director_identity const& self_;
-    base::duration lapse_grace_;
+    lapse_guard guard_;
     std::map<base::instance_id, known_entry> all_;
-    bool reachable_ = true;
-    base::time_point regained_at_ = base::time_point::min();
 };
 
 } // namespace fuchsiaproxy::steering
--- a/src/steering/upstream_table.cpp
+++ b/src/steering/upstream_table.cpp
@@ -8,7 +8,7 @@
 
 upstream_table::upstream_table(std::map<base::availability_zone_id, base::region_id> const& zones,
                                base::duration lapse_grace)
-    : zones_(zones), lapse_grace_(lapse_grace)
+    : zones_(zones), guard_(lapse_grace)
 {
 }
 
@@ -18,12 +18,6 @@
     return it == zones_.end() ? base::region_id() : it->second;
 }
 
-bool upstream_table::may_have_lapsed(base::time_point now) const
-{
-    return !reachable_ ||
-           (regained_at_ != base::time_point::min() && now < regained_at_ + lapse_grace_);
-}
-
 void upstream_table::list(std::vector<upstream_record> const& all, base::time_point now)
 {
     std::set<base::upstream_id> listed;
@@ -103,13 +97,13 @@
     {
         return;
     }
-    if (!may_have_lapsed(now) || found->second->record.draining)
+    auto const due = guard_.kept_until(now);
+    if (!due || found->second->record.draining)
     {
         erase(found);
         return;
     }
-    auto const back_by = (reachable_ ? regained_at_ : now) + lapse_grace_;
-    found->second->gone_at = found->second->gone_at.value_or(back_by);
+    found->second->gone_at = found->second->gone_at.value_or(*due);
 }
 
 void upstream_table::evacuate(std::set<base::availability_zone_id> const& zones,
@@ -134,28 +128,23 @@
 
 void upstream_table::store_reachable(bool reachable, base::time_point now)
 {
-    if (reachable && !reachable_)
+    if (!guard_.store_reachable(reachable, now))
     {
-        regained_at_ = now;
-        for (auto const& it : all_)
-        {
-            auto& due = it.second->gone_at;
-            due = due ? std::optional<base::time_point>(now + lapse_grace_) : std::nullopt;
-        }
+        return;
+    }
+    for (auto const& it : all_)
+    {
+        auto& due = it.second->gone_at;
+        due = due ? guard_.kept_until(now) : std::nullopt;
     }
-    reachable_ = reachable;
 }
 
 void upstream_table::tick(base::time_point now)
 {
-    if (!reachable_)
-    {
-        return;
-    }
     for (auto it = all_.begin(); it != all_.end();)
     {
         auto const next = std::next(it);
-        if (it->second->gone_at && now >= *it->second->gone_at)
+        if (guard_.is_over(it->second->gone_at, now))
         {
             erase(it);
         }
@@ -168,7 +157,7 @@
     auto first = base::time_point::max();
     for (auto const& it : all_)
     {
-        first = reachable_ ? std::min(first, it.second->gone_at.value_or(first)) : first;
+        first = guard_.is_reachable() ? std::min(first, it.second->gone_at.value_or(first)) : first;
     }
     return first;
 }
--- a/src/steering/upstream_table.hpp
+++ b/src/steering/upstream_table.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lapse_guard.hpp"
 #include "upstream_state.hpp"
 
 namespace fuchsiaproxy::steering
@@ -66,20 +67,17 @@
 private:
     using map = std::unordered_map<base::upstream_id, upstream_ptr>;
 
-    bool may_have_lapsed(base::time_point now) const;
     void erase(map::iterator it);
     void insert(upstream_record const& it, base::time_point now);
     base::region_id region_of(base::availability_zone_id const& zone) const;
 
     std::map<base::availability_zone_id, base::region_id> const& zones_;
-    base::duration lapse_grace_;
+    lapse_guard guard_;
     map all_;
     std::unordered_map<upstream_tag, upstream_ptr> by_tag_;
     std::unordered_map<base::service_id, std::vector<upstream_ptr>> by_service_;
     std::set<base::availability_zone_id> evacuated_;
     std::vector<model::endpoint> left_;
-    bool reachable_ = true;
-    base::time_point regained_at_ = base::time_point::min();
 };
 
 } // namespace fuchsiaproxy::steering
--- a/src/upstreams/client.cpp
+++ b/src/upstreams/client.cpp
@@ -23,7 +23,8 @@
 public:
     impl(boost::asio::io_context& io, base::timer_service& timers, http::buffer_pool& buffers,
          client_settings settings)
-        : core_(std::make_shared<client_core>(client_core{io, timers, buffers, settings}))
+        : core_(
+              std::make_shared<client_core>(client_core{io, timers, buffers, std::move(settings)}))
     {
         core_->reported = [this](running_attempt& it) { running_.erase(&it); };
         sweep_ = timers.every(sweep_period, [this](base::time_point now) { sweep(now); });
@@ -125,7 +126,7 @@
 
 client::client(boost::asio::io_context& io, base::timer_service& timers, http::buffer_pool& buffers,
                client_settings settings)
-    : impl_(std::make_shared<impl>(io, timers, buffers, settings))
+    : impl_(std::make_shared<impl>(io, timers, buffers, std::move(settings)))
 {
 }
 
