--- a/src/fuchsiad/main.cpp
+++ b/src/fuchsiad/main.cpp
@@ -1,7 +1,5 @@
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -26,19 +24,6 @@
     return base::answer_for(it.kind).exit_code;
 }
 
-base::result<std::string> read_file(std::string const& path)
-{
-    std::ifstream in(path);
-    if (!in)
-    {
-        return base::make_error(base::error_kind::invalid_settings,
-                                "cannot read the settings file \"" + path + "\"");
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 std::vector<std::string> environment()
 {
     std::vector<std::string> all;
@@ -51,7 +36,7 @@
 
 base::result<settings::daemon_settings> load(cxxopts::ParseResult const& args)
 {
-    auto const text = read_file(args["settings"].as<std::string>());
+    auto const text = settings::read_file(args["settings"].as<std::string>());
     if (!text)
     {
         return text.error();
--- a/src/include/fuchsiaproxy/settings/load.hpp
+++ b/src/include/fuchsiaproxy/settings/load.hpp
@@ -12,6 +12,9 @@
 namespace fuchsiaproxy::settings
 {
 
+/// Reads a whole file. Fails with `invalid_settings` if it cannot be read. Thread safe.
+base::result<std::string> read_file(std::string const& path);
+
 /// Value for one setting, given outside the file. `path` is in dotted form, such as
 /// "listen.callers.port"; `value` is JSON or, failing that, a string.
 struct override_value
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
+#include <fstream>
 #include <map>
+#include <sstream>
 
 #include <nlohmann/json.hpp>
 
@@ -276,4 +278,17 @@
     return page;
 }
 
+base::result<std::string> read_file(std::string const& path)
+{
+    std::ifstream in(path);
+    if (!in)
+    {
+        return base::make_error(base::error_kind::invalid_settings,
+                                "cannot read the settings file \"" + path + "\"");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
 } // namespace fuchsiaproxy::settings
--- /dev/null
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -0,0 +1,293 @@
+// The side of `running_attempt` that reads the answer.
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+#include "running_attempt.hpp"
+
+namespace fuchsiaproxy::upstreams
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using base::attempt_result;
+using boost::system::error_code;
+
+bool would_block(error_code const& ec)
+{
+    return ec == asio::error::would_block || ec == asio::error::try_again;
+}
+
+bool never_has_body(unsigned status)
+{
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+/// Reads once into the buffer. Returns false if nothing came; the connection is then either armed
+/// or broken.
+bool running_attempt::fill()
+{
+    if (begin_ > 0)
+    {
+        std::memmove(buffer_.data(), buffer_.data() + begin_, end_ - begin_);
+        end_ -= begin_;
+        begin_ = 0;
+    }
+    error_code ec;
+    auto const n = link_->socket().read_some(
+        asio::buffer(buffer_.data() + end_, http::buffer_bytes - end_), ec);
+    end_ += static_cast<std::uint32_t>(n);
+    if (!ec && n > 0)
+    {
+        return true;
+    }
+    if (would_block(ec))
+    {
+        link_->arm_read();
+        return false;
+    }
+    if (ec == asio::error::eof && until_close_)
+    {
+        closed_by_upstream_ = true;
+        return false;
+    }
+    break_off();
+    return false;
+}
+
+void running_attempt::on_readable()
+{
+    auto const self = shared_from_this();
+    if (head_done_)
+    {
+        // Without a reader the bytes stay in the socket, which slows the upstream down.
+        if (std::exchange(awaits_part_, false))
+        {
+            limit_at_ = base::time_point::max();
+            events_->attempt_readable(request_.id);
+        }
+        return;
+    }
+    if (writer_.bytes_sent() == 0)
+    {
+        // An answer to nothing: the bytes belong to no request of this entry.
+        break_off();
+        return;
+    }
+    if (fill())
+    {
+        read_answer_head();
+    }
+}
+
+void running_attempt::read_answer_head()
+{
+    while (!finished_ && !head_done_)
+    {
+        if (foreign_)
+        {
+            skip_foreign_answer();
+            if (foreign_)
+            {
+                return;
+            }
+        }
+        auto const input = std::string_view(buffer_.data() + begin_, end_ - begin_);
+        auto const scan = http::scan_head(input, scanned_);
+        scanned_ = static_cast<std::uint32_t>(input.size());
+        if (scan.malformed || (scan.size == 0 && input.size() >= http::buffer_bytes))
+        {
+            break_off();
+            return;
+        }
+        if (scan.size == 0)
+        {
+            link_->arm_read();
+            return;
+        }
+        scanned_ = 0;
+        begin_ += static_cast<std::uint32_t>(scan.size);
+        if (!reader_)
+        {
+            reader_ = http::message_reader::for_answers();
+        }
+        http::message_head head;
+        auto const without_body = request_.method == "HEAD";
+        auto const error = reader_->read_head(input.substr(0, scan.size), without_body, head);
+        if (error != http::head_error::none || !accept_head(head))
+        {
+            break_off();
+        }
+    }
+}
+
+/// Acts on a head. Returns false if the answer cannot be believed.
+bool running_attempt::accept_head(http::message_head& head)
+{
+    if (head.status / 100 == 1)
+    {
+        return head.status != 101;
+    }
+    auto const has_body = request_.method != "HEAD" && !never_has_body(head.status);
+    until_close_ = has_body && !head.chunked && !head.content_length;
+    auto const& dialect = *core_->settings.upstream_dialect;
+    if (head.status < 200 || (until_close_ && !dialect.body_may_end_with_connection()))
+    {
+        return false;
+    }
+    if (starts_foreign_answer(head))
+    {
+        return !until_close_;
+    }
+    head_done_ = true;
+    timer_.reset();
+    keep_alive_ = head.keep_alive;
+    report_.status = head.status;
+    report_.upstream_leaving = !keep_alive_;
+    report_.load = dialect.load(head.fields);
+    link_->limit_idle_time(head.fields);
+    if (dialect.is_refusal(head.status, head.fields, request_.shed_statuses))
+    {
+        report_.upstream_leaving = report_.upstream_leaving || dialect.is_leaving(head.fields);
+        finish_shed();
+        return true;
+    }
+    events_->attempt_head(
+        request_.id, answer_head{head.status, http::end_to_end(head.fields), head.content_length});
+    return true;
+}
+
+/// Ends a shed attempt. The connection stays in use if the answer has arrived completely.
+void running_attempt::finish_shed()
+{
+    while (step())
+    {
+        next_part_ = {};
+    }
+    if (!finished_)
+    {
+        release_connection(reader_->done() && is_reusable());
+        finish(attempt_result::shed);
+    }
+}
+
+/// Returns whether `head` begins an answer to an earlier request, which is then skipped.
+bool running_attempt::starts_foreign_answer(http::message_head const& head)
+{
+    if (core_->settings.upstream_dialect->belongs(head.fields, request_.fields))
+    {
+        return false;
+    }
+    ++core_->counters.foreign_answers;
+    untidy_ = true;
+    foreign_ = !reader_->done();
+    return true;
+}
+
+/// Drops the body of a foreign answer. `foreign_` stays set while more input is needed.
+void running_attempt::skip_foreign_answer()
+{
+    while (!finished_ && !reader_->done() && step())
+    {
+        next_part_ = {};
+    }
+    if (finished_)
+    {
+        return;
+    }
+    foreign_ = !reader_->done();
+    if (foreign_)
+    {
+        link_->arm_read();
+    }
+}
+
+/// Returns whether the answer has arrived completely.
+bool running_attempt::answer_done() const
+{
+    return reader_->done() || closed_by_upstream_;
+}
+
+/// Unframes the next part into `next_part_`. Returns false when more input is needed, at the end,
+/// and when the body is malformed.
+bool running_attempt::step()
+{
+    if (reader_->done() || begin_ == end_)
+    {
+        return false;
+    }
+    auto const input = std::string_view(buffer_.data() + begin_, end_ - begin_);
+    auto const taken = reader_->next(input);
+    begin_ += static_cast<std::uint32_t>(taken.used);
+    next_part_ = taken.data;
+    report_.bytes_received += taken.data.size();
+    auto const stuck = taken.used == 0 && input.size() >= http::buffer_bytes;
+    if (taken.malformed || stuck)
+    {
+        break_off();
+        return false;
+    }
+    return taken.used > 0;
+}
+
+answer_part running_attempt::part()
+{
+    while (part_.empty())
+    {
+        if (next_part_.empty() && head_done_ && !finished_ && !step() && !finished_ &&
+            !answer_done() && !fill())
+        {
+            break;
+        }
+        part_ = std::exchange(next_part_, std::string_view{});
+        if (finished_ || answer_done())
+        {
+            break;
+        }
+    }
+    if (!finished_ && next_part_.empty())
+    {
+        step(); // The end often stands right behind the last part.
+    }
+    if (!finished_ && (reader_->done() || (closed_by_upstream_ && begin_ == end_)))
+    {
+        complete();
+    }
+    auto const waits = !finished_ && part_.empty();
+    awaits_part_ = waits;
+    limit_at_ =
+        waits ? core_->timers.now() + core_->settings.body_idle_limit : base::time_point::max();
+    auto const complete_answer = finished_ && report_.result == attempt_result::completed;
+    return answer_part{part_, complete_answer && next_part_.empty()};
+}
+
+void running_attempt::consume(std::size_t size)
+{
+    part_.remove_prefix(std::min(size, part_.size()));
+    if (finished_ && part_.empty() && next_part_.empty())
+    {
+        buffer_.release();
+    }
+}
+
+void running_attempt::complete()
+{
+    release_connection(is_reusable());
+    finish(attempt_result::completed);
+}
+
+bool running_attempt::is_reusable() const
+{
+    // Bytes behind the answer belong to nothing, and the upstream still waits for the rest of a
+    // request that was not sent completely.
+    return keep_alive_ && !untidy_ && !until_close_ && begin_ == end_ && !sending_ &&
+           !write_failed_;
+}
+
+} // namespace fuchsiaproxy::upstreams
