Drop settings that nothing uses

Cause: three bounds were read from the settings file and used by no decision.

Change: operator_bounds has the two that bound repeats; the template follows.

--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -15,22 +15,15 @@
 /// Bounds that the operators of the platform set. Each has to be kept by all entries together.
 struct operator_bounds
 {
-    /// Extra attempts for each first attempt of a service, and those allowed besides, within
-    /// `budget_window`.
+    /// Extra attempts for each first attempt of a service, and those allowed besides within the
+    /// window over which the operators count.
     double extra_attempt_ratio = 0.2;
     double extra_attempt_slack = 60;
-    base::duration budget_window = std::chrono::seconds(10);
-    /// Requests within one second that a cold upstream tolerates: its rate times the factor, plus
-    /// the allowance.
-    double cold_rate_factor = 1.5;
-    double cold_rate_allowance = 5;
 
     friend bool operator==(operator_bounds const& a, operator_bounds const& b)
     {
         return a.extra_attempt_ratio == b.extra_attempt_ratio &&
-               a.extra_attempt_slack == b.extra_attempt_slack &&
-               a.budget_window == b.budget_window && a.cold_rate_factor == b.cold_rate_factor &&
-               a.cold_rate_allowance == b.cold_rate_allowance;
+               a.extra_attempt_slack == b.extra_attempt_slack;
     }
 };
 
@@ -44,7 +37,8 @@
     double budget_use = 0.7;
     /// Entries that may send to a cold upstream.
     std::size_t cold_senders = 2;
-    /// Part of the rate that a cold upstream tolerates that is used.
+    /// Part of the rate that a cold upstream tolerates that is used. Twice as many entries may send
+    /// while views of the fleet differ.
     double cold_use = 0.7;
 
     /// Time after the store's return during which records that lapsed while it was away may come
