--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -33,8 +33,8 @@
 struct follower_settings
 {
     std::string prefix;
-    /// Longest wait of one watch. A connection that goes silent meanwhile is found by its keep-alive
-    /// probes.
+    /// Longest wait of one watch. A connection that goes silent meanwhile is found by its
+    /// keep-alive probes.
     base::duration watch_wait = std::chrono::seconds(20);
     /// Least time between the starts of two watches. Changes within it are fetched together, which
     /// bounds the calls in a time of many changes.
