Bound the grace of lapsed records by when the store was last away

The entry had been cut off from 1 to 13 s and noticed the store's return 0.96 s after the cut; the grace of 2.2 s began then and ended after the 3 s from which the operators hold an entry to the store.

Ruled out: a stale listing (it had 41 upstreams and lacked the one); a lost removal.

Change: the follower says when the store was last known to be away (start of the last listing that failed); lapsed records are gone 2.7 s after that at the latest.

Conclusion: the hold no longer depends on how late the return is noticed.

--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -25,8 +25,12 @@
     /// One key was written or removed.
     virtual void changed(key_value const& it) = 0;
 
-    /// The store answers again, or has stopped to answer.
-    virtual void store_reachable(bool reachable, std::string const& why) = 0;
+    /// The store has stopped to answer.
+    virtual void store_lost(std::string const& why) = 0;
+
+    /// The store answers again. It was still away at `away_at`: the start of the last listing that
+    /// failed, or the end of the watch if only that has failed.
+    virtual void store_regained(base::time_point away_at) = 0;
 };
 
 /// Timing of a `store_follower`.
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -44,6 +44,11 @@
     /// Time after the store's return during which records that lapsed while it was away may come
     /// back. The platform states about 2 s.
     base::duration lapse_grace = std::chrono::milliseconds(2200);
+    /// Time after the store was last known to be away at which lapsed records are taken as gone at
+    /// the latest, however late its return was noticed. Below the time after the store's return
+    /// from which operators hold an entry to what the store says, by the time that a request takes
+    /// to reach an upstream.
+    base::duration lapse_limit = std::chrono::milliseconds(2700);
 
     /// Assumed round trips until connections were measured.
     base::duration assumed_zone_trip = std::chrono::milliseconds(1);
--- a/src/include/fuchsiaproxy/steering/records.hpp
+++ b/src/include/fuchsiaproxy/steering/records.hpp
@@ -94,16 +94,21 @@
     std::shared_ptr<configuration const> it;
 };
 
-/// The store answers this entry, or does not.
-struct store_reachability
+/// The store does not answer this entry.
+struct store_lost
 {
-    bool reachable = true;
+};
+
+/// The store answers this entry again. It was still away at `away_at`.
+struct store_regained
+{
+    base::time_point away_at;
 };
 
 /// What the control plane tells an entry.
 using control_event = std::variant<upstreams_listed, upstream_changed, upstream_removed,
                                    entries_listed, entry_changed, entry_removed, zones_evacuated,
-                                   configuration_accepted, store_reachability>;
+                                   configuration_accepted, store_lost, store_regained>;
 
 } // namespace fuchsiaproxy::steering
 
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -42,6 +42,7 @@
 private:
     void next_page(std::string after)
     {
+        asked_at_ = timers_.now();
         store_.list(settings_.prefix, std::move(after),
                     [weak = weak_from_this()](base::result<key_value_page> page)
                     {
@@ -56,7 +57,7 @@
     {
         if (!page)
         {
-            fail(page.error(), [this] { list(); });
+            fail(page.error(), asked_at_);
             return;
         }
         auto& it = page.value();
@@ -112,7 +113,7 @@
         {
             // A watch that is begun again may wait although the store has dropped the history in
             // between, and hear nothing until the next change.
-            fail(seen.error(), [this] { list(); });
+            fail(seen.error(), timers_.now());
             return;
         }
         succeed();
@@ -130,19 +131,19 @@
         pause_.reset();
         if (!std::exchange(reachable_, true))
         {
-            events_.store_reachable(true, {});
+            events_.store_regained(away_at_);
         }
     }
 
-    template <class Step>
-    void fail(base::error const& why, Step step)
+    void fail(base::error const& why, base::time_point away_at)
     {
         ++counters_.failed_calls;
+        away_at_ = away_at;
         if (std::exchange(reachable_, false))
         {
-            events_.store_reachable(false, why.message);
+            events_.store_lost(why.message);
         }
-        timer_ = timers_.at(timers_.now() + pause_.next(), [step](base::time_point) { step(); });
+        timer_ = timers_.at(timers_.now() + pause_.next(), [this](base::time_point) { list(); });
     }
 
     key_value_store& store_;
@@ -156,6 +157,9 @@
     store_revision after_;
     std::unique_ptr<base::timer_subscription> timer_;
     base::time_point watched_at_{};
+    /// Start of the listing in progress, and when the store is last known to have been away.
+    base::time_point asked_at_{};
+    base::time_point away_at_{};
     bool reachable_ = true;
     bool stopped_ = false;
 };
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -75,15 +75,21 @@
     {
         changes.push_back(it.key);
     }
-    void store_reachable(bool reachable, std::string const&) override
+    void store_lost(std::string const&) override
     {
-        reachability.push_back(reachable);
+        reachability.push_back(false);
+    }
+    void store_regained(base::time_point at) override
+    {
+        reachability.push_back(true);
+        away_at = at;
     }
 
     int listings = 0;
     std::vector<key_value> last_listing;
     std::vector<std::string> changes;
     std::vector<bool> reachability;
+    base::time_point away_at{};
 };
 
 key_value item(std::string key, std::uint64_t revision)
@@ -189,3 +195,23 @@
     CHECK_FALSE(events.reachability[0]);
     CHECK(events.reachability[1]);
 }
+
+// Guards against a grace period that begins when the return is noticed: after a listing that waited
+// for its time limit, upstreams that had left long ago were kept beyond the operators' bound.
+TEST(store_follower, tells_when_the_store_was_last_away)
+{
+    list_at(10);
+    store.take_watch().done(unavailable());
+    while (store.lists.empty())
+    {
+        timers.advance(1ms);
+    }
+    auto const asked = timers.now();
+    auto pending = store.take_list();
+    timers.advance(1500ms);
+    pending.done(unavailable());
+    timers.advance(settings.longest_pause);
+    list_at(20);
+    CHECK(events.away_at <= asked);
+    CHECK(events.away_at > asked - 1ms);
+}
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -13,9 +13,10 @@
 using base::error_kind;
 
 director::state::state(director_settings const& it, director_identity who, std::uint64_t seed)
-    : settings(it), self(std::move(who)), upstreams(self.zones, settings.lapse_grace),
-      entries(self, settings.lapse_grace), peers(settings.peer_memory), trips(settings, self),
-      choice(settings, entries, trips, seed)
+    : settings(it), self(std::move(who)),
+      upstreams(self.zones, lapse_guard(settings.lapse_grace, settings.lapse_limit)),
+      entries(self, lapse_guard(settings.lapse_grace, settings.lapse_limit)),
+      peers(settings.peer_memory), trips(settings, self), choice(settings, entries, trips, seed)
 {
 }
 
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -130,10 +130,15 @@
         {
             my.adopt(it.it, out);
         }
-        void operator()(store_reachability const& it) const
+        void operator()(store_lost const&) const
         {
-            my.upstreams.store_reachable(it.reachable, now);
-            my.entries.store_reachable(it.reachable, now);
+            my.upstreams.store_lost();
+            my.entries.store_lost();
+        }
+        void operator()(store_regained const& it) const
+        {
+            my.upstreams.store_regained(it.away_at, now);
+            my.entries.store_regained(it.away_at, now);
         }
     };
     std::visit(visitor{my, now, out}, event);
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -105,6 +105,11 @@
         tell(listed);
         out.clear();
     }
+    void lose_store()
+    {
+        tell(store_lost{});
+        tell(store_regained{now});
+    }
     base::local_request_id request(std::string const& path, std::string const& object = "o",
                                    base::duration left = 3s)
     {
@@ -326,8 +331,7 @@
 {
     configure();
     serve({"u1"});
-    tell(store_reachability{false});
-    tell(store_reachability{true});
+    lose_store();
     tell(upstreams_listed{});
     request("/read/a");
     CHECK(action<start_attempt>() != nullptr);
@@ -338,12 +342,28 @@
     CHECK(refused() == error_kind::no_upstream);
 }
 
+// Guards against an entry that notices the store's return late and keeps sending to upstreams that
+// have left: one that had been cut off sent to an upstream 12 s after it had left.
+TEST(director, a_late_notice_of_the_stores_return_does_not_extend_the_grace)
+{
+    configure();
+    serve({"u1"});
+    tell(store_lost{});
+    auto const away_at = now;
+    now += 1200ms;
+    tell(store_regained{away_at});
+    tell(upstreams_listed{});
+    now = away_at + settings.lapse_limit;
+    it.tick(now, out);
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+}
+
 TEST(director, records_that_come_back_after_an_outage_stay)
 {
     configure();
     serve({"u1"});
-    tell(store_reachability{false});
-    tell(store_reachability{true});
+    lose_store();
     tell(upstreams_listed{});
     tell(upstream_changed{upstream("u1")});
     now += settings.lapse_grace * 2;
--- a/src/steering/entry_view.cpp
+++ b/src/steering/entry_view.cpp
@@ -8,8 +8,8 @@
 namespace fuchsiaproxy::steering
 {
 
-entry_view::entry_view(director_identity const& self, base::duration lapse_grace)
-    : self_(self), guard_(lapse_grace)
+entry_view::entry_view(director_identity const& self, lapse_guard const& guard)
+    : self_(self), guard_(guard)
 {
 }
 
@@ -56,12 +56,14 @@
     found->second.gone_at = found->second.gone_at.value_or(*due);
 }
 
-void entry_view::store_reachable(bool reachable, base::time_point now)
+void entry_view::store_lost()
 {
-    if (!guard_.store_reachable(reachable, now))
-    {
-        return;
-    }
+    guard_.store_lost();
+}
+
+void entry_view::store_regained(base::time_point away_at, base::time_point now)
+{
+    guard_.store_regained(away_at, now);
     for (auto& it : all_)
     {
         auto& due = it.second.gone_at;
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -22,12 +22,13 @@
 {
 public:
     /// `self` must outlive the view.
-    entry_view(director_identity const& self, base::duration lapse_grace);
+    entry_view(director_identity const& self, lapse_guard const& guard);
 
     void list(std::vector<entry_record> const& all, base::time_point now);
     void change(entry_record const& it);
     void remove(base::instance_id const& id, base::time_point now);
-    void store_reachable(bool reachable, base::time_point now);
+    void store_lost();
+    void store_regained(base::time_point away_at, base::time_point now);
     void tick(base::time_point now);
     /// Returns when `tick` has to be called; the largest time if never.
     base::time_point next_wakeup() const;
--- a/src/steering/lapse_guard.hpp
+++ b/src/steering/lapse_guard.hpp
@@ -1,6 +1,7 @@
 #ifndef FUCHSIAPROXY_STEERING_LAPSE_GUARD_HPP
 #define FUCHSIAPROXY_STEERING_LAPSE_GUARD_HPP
 
+#include <algorithm>
 #include <optional>
 
 #include "fuchsiaproxy/base/time.hpp"
@@ -15,19 +16,19 @@
 class lapse_guard
 {
 public:
-    /// `grace` is the time after the store's return within which records come back.
-    explicit lapse_guard(base::duration grace) : grace_(grace) {}
+    /// `grace` is the time after the store's return within which records come back; `limit` bounds
+    /// it from the time at which the store was last known to be away.
+    lapse_guard(base::duration grace, base::duration limit) : grace_(grace), limit_(limit) {}
 
-    /// Takes the news that the store answers or does not. Returns true when it has just returned.
-    bool store_reachable(bool reachable, base::time_point now)
+    void store_lost()
     {
-        auto const returned = reachable && !reachable_;
-        if (returned)
-        {
-            kept_until_ = now + grace_;
-        }
-        reachable_ = reachable;
-        return returned;
+        reachable_ = false;
+    }
+
+    void store_regained(base::time_point away_at, base::time_point now)
+    {
+        reachable_ = true;
+        kept_until_ = std::min(now + grace_, away_at + limit_);
     }
 
     bool is_reachable() const
@@ -53,6 +54,7 @@
 
 private:
     base::duration grace_;
+    base::duration limit_;
     bool reachable_ = true;
     base::time_point kept_until_ = base::time_point::min();
 };
--- a/src/steering/upstream_table.cpp
+++ b/src/steering/upstream_table.cpp
@@ -7,8 +7,8 @@
 {
 
 upstream_table::upstream_table(std::map<base::availability_zone_id, base::region_id> const& zones,
-                               base::duration lapse_grace)
-    : zones_(zones), guard_(lapse_grace)
+                               lapse_guard const& guard)
+    : zones_(zones), guard_(guard)
 {
 }
 
@@ -126,12 +126,14 @@
     evacuated_ = zones;
 }
 
-void upstream_table::store_reachable(bool reachable, base::time_point now)
+void upstream_table::store_lost()
 {
-    if (!guard_.store_reachable(reachable, now))
-    {
-        return;
-    }
+    guard_.store_lost();
+}
+
+void upstream_table::store_regained(base::time_point away_at, base::time_point now)
+{
+    guard_.store_regained(away_at, now);
     for (auto const& it : all_)
     {
         auto& due = it.second->gone_at;
--- a/src/steering/upstream_table.hpp
+++ b/src/steering/upstream_table.hpp
@@ -23,7 +23,7 @@
 public:
     /// `zones` must outlive the table.
     upstream_table(std::map<base::availability_zone_id, base::region_id> const& zones,
-                   base::duration lapse_grace);
+                   lapse_guard const& guard);
 
     /// Replaces all records. Those that are missing are removed.
     void list(std::vector<upstream_record> const& all, base::time_point now);
@@ -36,7 +36,8 @@
                   std::unordered_map<base::service_id, service> const& services,
                   base::time_point now);
 
-    void store_reachable(bool reachable, base::time_point now);
+    void store_lost();
+    void store_regained(base::time_point away_at, base::time_point now);
 
     /// Removes what has lapsed for longer than the grace period.
     void tick(base::time_point now);
