Give up watches that another entry has overtaken; add a fault soak of the platform's entry

An entry's watch went through a proxy that dropped its bytes and stayed open: the system's keep-alive probes are answered by the proxy, so the entry kept its old view until the watch's own limit of 20 s.

Ruled out: the store's side (other entries had the changes); the retry of a broken watch (it never broke).

Change: the datagrams in which entries exchange loads carry the revision of the store that the entry has followed to. A watch that stays behind what another entry has seen for 0.6 s is given up and the keys are listed again: no call is spent while all is well.

Tests: store_follower.gives_up_a_watch_that_another_follower_has_overtaken and two more.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PREFIX ?= /usr/local
 DESTDIR ?=
 
-.PHONY: all build check install pages lint format demo prove bench capacity measure
+.PHONY: all build check install pages lint format demo prove soak bench capacity measure
 
 all: build
 
@@ -39,6 +39,11 @@
 prove: build
 	scripts/prove --build $(BUILD) --seed $(or $(SEED),1)
 
+# Randomized faults against real entries of the users' platform; SEEDS=1-50 plays given ones.
+soak: build
+	tests/soak/soak --build $(BUILD) --seeds $(or $(SEEDS),$(shell date +%s)) --jobs 3
+	tests/soak/soak --build $(BUILD) --regressions
+
 bench: build
 	$(BUILD)/src/policy_bench --json $(BUILD)/policy_bench.json
 
--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -91,6 +91,13 @@
         boost::asio::post(thread_.io(), [this, done = std::move(done)] { gateway_.drain(done); });
     }
 
+    /// Sets what is called on the traffic thread when another entry has followed the control plane
+    /// further. Precondition: the thread was not started.
+    void when_overtaken(std::function<void(steering::control_revision)> call)
+    {
+        gateway_.when_overtaken(std::move(call));
+    }
+
     /// Replaces the operators' bounds. Thread safe.
     void set_bounds(steering::operator_bounds const& bounds)
     {
@@ -259,6 +266,9 @@
     };
     auto const plane = settings.make_control({control.io(), control_timers, emit, log, seed});
     control.push([&] { plane->start(); });
+    // A full ring drops the news; the next change of the control plane brings it again.
+    traffic.when_overtaken([&](steering::control_revision by)
+                           { control.push([&plane, by] { plane->on_overtaken(by); }); });
     log("started", {{"instance", settings.self.id.value()}, {"zone", settings.self.zone.value()}});
     traffic.thread().start();
     control.start();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,9 +80,16 @@
     return attempt_times_;
 }
 
+void gateway::when_overtaken(std::function<void(steering::control_revision)> call)
+{
+    overtaken_ = std::move(call);
+}
+
 void gateway::on_peer_load(steering::peer_load const& it)
 {
-    director_.on_peer_load(it, timers_.now());
+    steering::director_actions out;
+    director_.on_peer_load(it, timers_.now(), out);
+    perform(out);
 }
 
 steering::peer_load gateway::load()
@@ -222,6 +229,14 @@
     client_.forget(it.at);
 }
 
+void gateway::perform_one(steering::overtaken& it)
+{
+    if (overtaken_)
+    {
+        overtaken_(it.by);
+    }
+}
+
 void gateway::perform_one(steering::limits_changed& it)
 {
     callers::caller_limits limits;
--- a/src/gossip/load_codec.cpp
+++ b/src/gossip/load_codec.cpp
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-constexpr std::uint32_t format_version = 1;
+constexpr std::uint32_t format_version = 2;
 constexpr std::size_t figures_per_upstream = 3;
 
 std::uint32_t figure(json const& it)
@@ -36,7 +36,8 @@
         figures.push_back(one.pace_percent);
     }
     json const message =
-        json::array({format_version, it.from.value(), it.sequence, std::move(figures)});
+        json::array({format_version, it.from.value(), it.sequence, std::move(figures),
+                     it.revision.value()});
     std::string out;
     json::to_cbor(message, out);
     return out;
@@ -56,6 +57,7 @@
         steering::peer_load made;
         made.from = base::instance_id(message.at(1).get<std::string>());
         made.sequence = message.at(2).get<std::uint64_t>();
+        made.revision = steering::control_revision(message.at(4).get<std::uint64_t>());
         for (std::size_t n = 0; n < figures.size(); n += figures_per_upstream)
         {
             made.upstreams.push_back(
--- a/src/include/fuchsiaproxy/gateway/entry_process.hpp
+++ b/src/include/fuchsiaproxy/gateway/entry_process.hpp
@@ -30,6 +30,9 @@
     /// Starts to follow the control plane and to publish this entry. Precondition: called once.
     virtual void start() = 0;
 
+    /// Takes the revision up to which another entry has followed the control plane.
+    virtual void on_overtaken(steering::control_revision by) = 0;
+
     /// Stops to publish this entry, so that callers are no longer sent here.
     virtual void withdraw() = 0;
 };
--- a/src/include/fuchsiaproxy/gateway/gateway.hpp
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -92,6 +92,9 @@
     /// Takes the load that another entry puts on the upstreams.
     void on_peer_load(steering::peer_load const& it);
 
+    /// Sets what is called when another entry has followed the control plane further.
+    void when_overtaken(std::function<void(steering::control_revision)> call);
+
     /// Returns the load that this entry puts on the upstreams.
     steering::peer_load load();
 
@@ -121,6 +124,7 @@
     void perform_one(steering::answer_error& it);
     void perform_one(steering::upstream_left& it);
     void perform_one(steering::limits_changed& it);
+    void perform_one(steering::overtaken& it);
     void perform_one(steering::attempt_explained& it);
     void schedule_tick();
     void finish_drain(std::size_t left);
@@ -133,6 +137,7 @@
     relay::relay relay_;
     callers::server server_;
     log_function log_;
+    std::function<void(steering::control_revision)> overtaken_;
     std::unique_ptr<base::timer_subscription> wakeup_;
     base::time_point wakeup_at_ = base::time_point::max();
     std::vector<std::unique_ptr<base::timer_subscription>> drain_steps_;
--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -31,6 +31,9 @@
     /// The store answers again. It was still away at `away_at`: the start of the last listing that
     /// failed, or the end of the watch if only that has failed.
     virtual void store_regained(base::time_point away_at) = 0;
+
+    /// All changes up to a revision of the store have been told.
+    virtual void caught_up(store_revision at) = 0;
 };
 
 /// Timing of a `store_follower`.
@@ -43,6 +46,9 @@
     /// Least time between the starts of two watches. Changes within it are fetched together, which
     /// bounds the calls in a time of many changes.
     base::duration least_gap = std::chrono::milliseconds(700);
+    /// Time that a watch may stay behind a revision that another follower has seen. Longer than a
+    /// slow store takes to answer.
+    base::duration overtaken_limit = std::chrono::milliseconds(600);
     /// Pause after the first failed call; doubles up to `longest_pause`, with jitter.
     base::duration first_pause = std::chrono::milliseconds(100);
     base::duration longest_pause = std::chrono::milliseconds(800);
@@ -58,10 +64,13 @@
     std::uint64_t changes = 0;
     std::uint64_t failed_calls = 0;
     std::uint64_t lost_histories = 0;
+    /// Watches that were given up because another follower had seen a later revision.
+    std::uint64_t overtaken_watches = 0;
 };
 
 /// Keeps a copy of the keys with a prefix up to date: lists them once, watches from the revision of
-/// the first page on, and lists again when a watch has failed or the store has dropped the history.
+/// the first page on, and lists again when a watch has failed or was overtaken, or the store has
+/// dropped the history.
 ///
 /// Thread safety: none; used on the thread of the store and the timers.
 class store_follower
@@ -78,6 +87,11 @@
     /// Starts to follow. Precondition: called once.
     void start();
 
+    /// Takes a revision that another follower has seen. A watch that does not get there in time is
+    /// given up and the keys are listed again: its connection may have gone silent in a way that
+    /// the system cannot find out, as behind a proxy that still answers probes.
+    void overheard(store_revision seen);
+
     /// Returns the counts.
     follower_counters const& counters() const;
 
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -98,6 +98,12 @@
     caller_limits limits;
 };
 
+/// Another entry has followed the control plane further than this one.
+struct overtaken
+{
+    control_revision by;
+};
+
 /// Why an attempt was sent where it was, and how it ended; for logs.
 struct attempt_explained
 {
@@ -122,7 +128,7 @@
 };
 
 using director_action = std::variant<start_attempt, cancel_attempt, answer_error, upstream_left,
-                                     limits_changed, attempt_explained>;
+                                     limits_changed, overtaken, attempt_explained>;
 using director_actions = std::vector<director_action>;
 
 /// Who a director decides for.
@@ -189,7 +195,7 @@
     void set_bounds(operator_bounds const& bounds);
 
     /// Takes the load that another entry puts on the upstreams.
-    void on_peer_load(peer_load const& it, base::time_point now);
+    void on_peer_load(peer_load const& it, base::time_point now, director_actions& out);
 
     /// Returns the load that this entry puts on the upstreams.
     peer_load load(base::time_point now);
--- a/src/include/fuchsiaproxy/steering/peer_load.hpp
+++ b/src/include/fuchsiaproxy/steering/peer_load.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/steering/records.hpp"
 
 namespace fuchsiaproxy::steering
 {
@@ -30,6 +31,8 @@
     /// Grows with each message of one process; messages may arrive out of order.
     std::uint64_t sequence = 0;
     std::vector<upstream_load> upstreams;
+    /// How far the entry has followed the control plane.
+    control_revision revision{};
 };
 
 } // namespace fuchsiaproxy::steering
--- a/src/include/fuchsiaproxy/steering/records.hpp
+++ b/src/include/fuchsiaproxy/steering/records.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fuchsiaproxy/base/ids.hpp"
+#include "fuchsiaproxy/base/strong_type.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/base/units.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
@@ -17,6 +18,9 @@
 namespace fuchsiaproxy::steering
 {
 
+/// How far an entry has followed the control plane. Grows with each change.
+using control_revision = base::strong_type<struct control_revision_tag, std::uint64_t>;
+
 /// What discovery says of one upstream.
 struct upstream_record
 {
@@ -105,10 +109,16 @@
     base::time_point away_at;
 };
 
+/// All changes of the control plane up to a revision have been told.
+struct caught_up
+{
+    control_revision at;
+};
+
 /// What the control plane tells an entry.
 using control_event = std::variant<upstreams_listed, upstream_changed, upstream_removed,
                                    entries_listed, entry_changed, entry_removed, zones_evacuated,
-                                   configuration_accepted, store_lost, store_regained>;
+                                   configuration_accepted, store_lost, store_regained, caught_up>;
 
 } // namespace fuchsiaproxy::steering
 
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -32,6 +32,13 @@
     {
         stopped_ = true;
         timer_.reset();
+        overtaken_.reset();
+    }
+
+    void overheard(store_revision seen)
+    {
+        overheard_ = std::max(overheard_, seen);
+        expect_overheard();
     }
 
     follower_counters const& counters() const
@@ -73,6 +80,7 @@
         succeed();
         after_ = *begin_;
         events_.listed(std::exchange(items_, {}));
+        events_.caught_up(after_);
         watch();
     }
 
@@ -91,14 +99,42 @@
     {
         watched_at_ = timers_.now();
         ++counters_.watches;
+        watching_ = true;
         store_.watch(settings_.prefix, after_, settings_.watch_wait,
-                     [weak = weak_from_this()](base::result<key_value_changes> seen)
+                     [weak = weak_from_this(),
+                      number = counters_.watches](base::result<key_value_changes> seen)
                      {
-                         if (auto const self = weak.lock(); self && !self->stopped_)
+                         auto const self = weak.lock();
+                         if (self && !self->stopped_ && self->watching_ &&
+                             number == self->counters_.watches)
                          {
+                             self->watching_ = false;
                              self->on_changes(std::move(seen));
                          }
                      });
+        expect_overheard();
+    }
+
+    /// Gives the watch in progress a time by which it has to reach what others have seen.
+    void expect_overheard()
+    {
+        if (!watching_ || overtaken_ || overheard_ <= after_)
+        {
+            return;
+        }
+        overtaken_ = timers_.at(timers_.now() + settings_.overtaken_limit,
+                                [this, due = overheard_](base::time_point)
+                                {
+                                    overtaken_.reset();
+                                    if (!watching_ || after_ >= due)
+                                    {
+                                        expect_overheard();
+                                        return;
+                                    }
+                                    watching_ = false;
+                                    ++counters_.overtaken_watches;
+                                    list();
+                                });
     }
 
     void on_changes(base::result<key_value_changes> seen)
@@ -123,6 +159,7 @@
             events_.changed(it);
         }
         after_ = std::max(after_, seen.value().current);
+        events_.caught_up(after_);
         watch_later();
     }
 
@@ -156,6 +193,10 @@
     std::optional<store_revision> begin_;
     store_revision after_;
     std::unique_ptr<base::timer_subscription> timer_;
+    /// Latest revision that another follower has seen, and the time limit to get there.
+    store_revision overheard_;
+    std::unique_ptr<base::timer_subscription> overtaken_;
+    bool watching_ = false;
     base::time_point watched_at_{};
     /// Start of the listing in progress, and when the store is last known to have been away.
     base::time_point asked_at_{};
@@ -180,6 +221,11 @@
     impl_->list();
 }
 
+void store_follower::overheard(store_revision seen)
+{
+    impl_->overheard(seen);
+}
+
 follower_counters const& store_follower::counters() const
 {
     return impl_->counters();
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -88,8 +88,13 @@
     int listings = 0;
     std::vector<key_value> last_listing;
     std::vector<std::string> changes;
+    void caught_up(store_revision at) override
+    {
+        revision = at;
+    }
     std::vector<bool> reachability;
     base::time_point away_at{};
+    store_revision revision;
 };
 
 key_value item(std::string key, std::uint64_t revision)
@@ -215,3 +220,34 @@
     CHECK(events.away_at <= asked);
     CHECK(events.away_at > asked - 1ms);
 }
+
+// Guards against a watch whose connection has gone silent behind a proxy that still answers the
+// system's probes: an entry kept an old configuration until the watch's own time limit of 20 s.
+TEST(store_follower, gives_up_a_watch_that_another_follower_has_overtaken)
+{
+    list_at(10);
+    auto silent = store.take_watch();
+    follower->overheard(store_revision(12));
+    timers.advance(settings.overtaken_limit - 1ms);
+    CHECK(store.lists.empty());
+    timers.advance(1ms);
+    list_at(12);
+    CHECK(events.revision == store_revision(12));
+    LONGS_EQUAL(1, follower->counters().overtaken_watches);
+    silent.done(metadata::key_value_changes{{item("late", 11)}, store_revision(11)});
+    CHECK(events.changes.empty());
+    LONGS_EQUAL(12, store.take_watch().after.value());
+}
+
+// Guards against listings, which are dear, while the watch is only a little behind others.
+TEST(store_follower, keeps_a_watch_that_catches_up)
+{
+    list_at(10);
+    follower->overheard(store_revision(12));
+    timers.advance(settings.overtaken_limit / 2);
+    store.take_watch().done(metadata::key_value_changes{{item("a", 12)}, store_revision(12)});
+    timers.advance(settings.least_gap);
+    CHECK_FALSE(store.watches.empty());
+    timers.advance(settings.overtaken_limit);
+    CHECK(store.lists.empty());
+}
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -1,4 +1,5 @@
 // The side of the director that faces the control plane.
+#include <algorithm>
 #include <utility>
 
 #include "director_state.hpp"
@@ -45,7 +46,7 @@
     state_->budgets.clear();
 }
 
-void director::on_peer_load(peer_load const& it, base::time_point now)
+void director::on_peer_load(peer_load const& it, base::time_point now, director_actions& out)
 {
     auto& my = *state_;
     if (it.from == my.self.id)
@@ -53,6 +54,14 @@
         return;
     }
     my.peers.take(it, now);
+    if (it.revision > my.peers_revision)
+    {
+        my.peers_revision = it.revision;
+        if (it.revision > my.revision)
+        {
+            out.push_back(overtaken{it.revision});
+        }
+    }
     for (auto const& one : it.upstreams)
     {
         auto const known = one.pace_percent == 0 ? nullptr : my.upstreams.tagged(one.upstream);
@@ -70,6 +79,7 @@
     peer_load made;
     made.from = my.self.id;
     made.sequence = ++my.load_sequence;
+    made.revision = my.revision;
     my.upstreams.for_each(
         [&](upstream_state& it)
         {
@@ -130,6 +140,10 @@
         {
             my.adopt(it.it, out);
         }
+        void operator()(caught_up const& it) const
+        {
+            my.revision = std::max(my.revision, it.at);
+        }
         void operator()(store_lost const&) const
         {
             my.upstreams.store_lost();
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -105,6 +105,9 @@
     std::unordered_map<base::attempt_id, attempt_state> attempts;
     std::uint64_t last_attempt = 0;
     std::uint64_t load_sequence = 0;
+    /// How far this entry, and the one that is furthest, have followed the control plane.
+    control_revision revision;
+    control_revision peers_revision;
     director_counters counters;
 };
 
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -477,7 +477,7 @@
         load.upstreams.push_back({one.upstream, 12, 0});
     }
     auto const busy = started().upstream;
-    it.on_peer_load(load, now);
+    it.on_peer_load(load, now, out);
     request("/read/a", "b");
     CHECK(started().upstream != busy);
     now += settings.peer_memory + 1ms;
@@ -515,3 +515,20 @@
     auto const left = it.look_up(base::availability_zone_id("south-a"));
     CHECK(left.at(0) == "10.0.0.1:1");
 }
+
+// Guards against an entry that does not notice that its own view of the control plane stands still.
+TEST(director, an_entry_that_is_further_is_reported_once)
+{
+    tell(caught_up{control_revision(10)});
+    peer_load load{base::instance_id("e2"), 1, {}, control_revision(10)};
+    it.on_peer_load(load, now, out);
+    CHECK(action<overtaken>() == nullptr);
+    load = {base::instance_id("e2"), 2, {}, control_revision(12)};
+    it.on_peer_load(load, now, out);
+    CHECK(action<overtaken>()->by == control_revision(12));
+    out.clear();
+    load.sequence = 3;
+    it.on_peer_load(load, now, out);
+    CHECK(action<overtaken>() == nullptr);
+    CHECK(it.load(now).revision == control_revision(10));
+}
--- /dev/null
+++ b/tests/soak/soaking/callers.py
@@ -0,0 +1,148 @@
+"""Callers: they ask entries where to connect, keep connections open, and check every answer."""
+
+import asyncio
+import json
+import time
+
+from . import http1
+
+CONNECT_LIMIT_S = 1.0
+LOOK_UP_LIMIT_S = 1.0
+OBJECTS = 60
+# An entry may answer this much after the time limit.
+ANSWER_SLACK_S = 0.5
+
+
+class Caller:
+    """One caller of a zone. It keeps a connection until the entry closes it or it fails."""
+
+    def __init__(self, world, zone, number):
+        self.world = world
+        self.zone = zone
+        self.name = f"{zone}-{number}"
+        self.addresses = []
+        self.known_until = 0.0
+        self.avoided = {}
+        self.entry = None
+        self.reader = None
+        self.writer = None
+        self.sent = 0
+
+    async def run(self):
+        random = self.world.random
+        while not self.world.ended:
+            await asyncio.sleep(random.expovariate(1 / self.world.caller_pause_s))
+            route = random.choice(self.world.routes)
+            started = time.monotonic()
+            retry_after = await self.attempt(route, started)
+            if retry_after is not None and not self.world.ended:
+                await asyncio.sleep(min(retry_after, route.time_limit_s / 3))
+                self.close()
+                if time.monotonic() < started + route.time_limit_s:
+                    await self.attempt(route, started)
+
+    async def attempt(self, route, started):
+        """Sends one attempt. Returns a pause in seconds if the caller may try again."""
+        left_s = started + route.time_limit_s - time.monotonic()
+        if not await self.connect():
+            return 0.05
+        self.sent += 1
+        attempt = f"{self.name}-{self.sent}"
+        method = "GET" if route.idempotent else "POST"
+        body = b"" if route.idempotent else f"order {attempt}".encode()
+        target = f"{route.prefix}{self.world.random.randint(0, 99)}"
+        fields = [("Host", route.host), ("X-Attempt-Id", attempt),
+                  ("Cookie", f"X-Affinity-Key={self.world.random.randint(1, OBJECTS)}"),
+                  ("X-Deadline-Ms", str(max(1, int(left_s * 1000))))]
+        checks = self.world.checks
+        checks.sent(attempt, route, self.entry, target, body)
+        leaves = self.world.random.random() < self.world.give_up_share
+        try:
+            self.writer.write(http1.request_bytes(method, target, fields, body))
+            answer = await asyncio.wait_for(http1.read_message(self.reader, is_answer=True),
+                                            route.time_limit_s / 8 if leaves else left_s + ANSWER_SLACK_S)
+        except asyncio.TimeoutError:
+            if not leaves:
+                checks.unanswered(attempt)
+            self.close()
+            return None
+        except http1.Malformed as error:
+            checks.violation("MIXED", f"{attempt}: {self.entry.name} sent no answer: {error}")
+            self.close()
+            return None
+        except http1.CONNECTION_ERRORS:
+            answer = None
+        if answer is None:
+            checks.cut(attempt)
+            self.avoid()
+            return 0.0 if route.idempotent else None
+        if not answer.keeps_connection():
+            self.close()
+        checks.got(attempt, answer)
+        if answer.status < 400:
+            return None
+        promised = answer.status in (429, 503, 408, 421)
+        if promised or route.idempotent:
+            return float(answer.field("retry-after", "0"))
+        return None
+
+    async def connect(self):
+        if self.writer and not self.writer.transport.is_closing() and not self.reader.at_eof() \
+                and self.entry.name in {it.name for it in await self.entries()}:
+            return True
+        self.close()
+        now = time.monotonic()
+        fit = [it for it in await self.entries() if self.avoided.get(it.name, 0) < now]
+        if not fit:
+            return False
+        self.entry = self.world.random.choice(fit)
+        try:
+            self.reader, self.writer = await asyncio.wait_for(
+                asyncio.open_connection("127.0.0.1", self.entry.callers_proxy.port), CONNECT_LIMIT_S)
+            return True
+        except (OSError, asyncio.TimeoutError):
+            self.avoid()
+            return False
+
+    async def entries(self):
+        if time.monotonic() >= self.known_until:
+            await self.look_up()
+        return self.addresses
+
+    async def look_up(self):
+        order = list(self.world.entries)
+        self.world.random.shuffle(order)
+        order.sort(key=lambda it: it.zone != self.zone)
+        for entry in order[:3]:
+            try:
+                answer = await asyncio.wait_for(self.ask(entry), LOOK_UP_LIMIT_S)
+            except (asyncio.TimeoutError, *http1.CONNECTION_ERRORS):
+                continue
+            if answer is None or answer.status != 200:
+                continue
+            read = json.loads(answer.body)
+            self.addresses = [self.world.by_address[it] for it in read["addresses"]]
+            self.known_until = time.monotonic() + read["ttl_s"]
+            self.world.checks.named(entry, self.addresses)
+            return
+
+    async def ask(self, entry):
+        host, port = entry.look_ups
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            region = self.world.zones[self.zone]
+            target = f"/fuchsiaproxy/resolve?name=soak.example&region={region}&zone={self.zone}"
+            writer.write(http1.request_bytes("GET", target, [("Host", host)]))
+            return await http1.read_message(reader, is_answer=True)
+        finally:
+            writer.close()
+
+    def avoid(self):
+        self.avoided[self.entry.name] = time.monotonic() + 1.0
+        self.close()
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.writer = None
+        self.reader = None
--- /dev/null
+++ b/tests/soak/soaking/store.py
@@ -0,0 +1,175 @@
+"""Stand-in of the platform's store: items, pages, watches, leases, and the ways in which it fails."""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+from . import http1
+
+PAGE_ITEMS = 500
+# How long a store that does not answer keeps a call before it closes the connection.
+SILENCE_S = 30.0
+
+
+class Store:
+    """Items with revisions. `failure` is None, "refuse" (503), "silent" or "reset"; entries in
+    `turned_away` see a failing store while the others are served. The port of a connection tells
+    them apart: each entry has a listener of its own."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 100
+        self.history = []
+        self.oldest = 100
+        self.leases = {}
+        self.next_lease = 1
+        self.failure = None
+        self.turned_away = {}
+        self.answer_delay_s = 0.004
+        self.lost_writes = 0.0
+        self.random = None
+        self.calls = 0
+        self.changed = asyncio.Condition()
+        self.watch_epoch = 0
+
+    async def listen(self, caller):
+        """Returns the port at which `caller` reaches the store."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self.serve(caller, reader, writer), "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
+
+    # What operators and upstreams do; the returned revision is the store's confirmation.
+
+    async def write(self, key, value, lease=0):
+        return await self.apply([(key, json.dumps(value).encode(), lease)], [])
+
+    async def remove(self, key):
+        return await self.apply([], [key])
+
+    async def apply(self, puts, removed):
+        self.revision += 1
+        for key, value, lease in puts:
+            created = self.items[key]["created"] if key in self.items else self.revision
+            self.items[key] = {"key": key, "value": base64.b64encode(value).decode(),
+                               "rev": self.revision, "created": created, "lease": lease}
+            self.history.append(dict(self.items[key]))
+        for key in removed:
+            if self.items.pop(key, None):
+                self.history.append({"key": key, "rev": self.revision, "deleted": True})
+        async with self.changed:
+            self.changed.notify_all()
+        return self.revision
+
+    async def compact(self):
+        """Drops the history and cuts the watches."""
+        self.history.clear()
+        self.oldest = self.revision
+        self.watch_epoch += 1
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def expire_leases(self):
+        """Runs for ever; leases run on while the store is away."""
+        while True:
+            await asyncio.sleep(0.1)
+            now = time.monotonic()
+            for lease in [it for it, (_, end) in self.leases.items() if end <= now]:
+                await self.end_lease(lease)
+
+    async def end_lease(self, lease):
+        known = self.leases.pop(lease, None)
+        keys = [it["key"] for it in self.items.values() if it["lease"] == lease]
+        if keys:
+            await self.apply([], keys)
+        return known is not None
+
+    # Calls.
+
+    async def serve(self, caller, reader, writer):
+        try:
+            while True:
+                call = await http1.read_message(reader)
+                if call is None:
+                    break
+                self.calls += 1
+                failure = self.turned_away.get(caller, self.failure)
+                if failure == "reset":
+                    http1.abort(writer)
+                    return
+                if failure == "silent":
+                    await asyncio.sleep(SILENCE_S)
+                    break
+                if failure == "refuse":
+                    writer.write(http1.answer_bytes(503))
+                    continue
+                await asyncio.sleep(self.answer_delay_s)
+                answer = await self.answer(call)
+                is_write = call.method != "GET"
+                if answer is None or (is_write and self.random.random() < self.lost_writes):
+                    http1.abort(writer)
+                    return
+                writer.write(answer)
+                await writer.drain()
+        except http1.CONNECTION_ERRORS:
+            pass
+        writer.close()
+
+    async def answer(self, call):
+        path, _, query = call.target.partition("?")
+        args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        name = path.removeprefix("/fuchsiaproxy/")
+        if name == "kv-range":
+            return self.list(args.get("prefix", ""), args.get("after", ""))
+        if name == "kv-watch":
+            return await self.watch(args.get("prefix", ""), int(args["after"]), int(args["wait_ms"]))
+        if name == "kv-txn":
+            return await self.transact(json.loads(call.body))
+        if name == "kv-lease":
+            lease, self.next_lease = self.next_lease, self.next_lease + 1
+            ttl_ms = json.loads(call.body)["ttl_ms"]
+            self.leases[lease] = (ttl_ms, time.monotonic() + ttl_ms / 1000)
+            return http1.json_answer({"lease": lease, "ttl_ms": ttl_ms})
+        verb, _, lease = name.partition("/")
+        if verb == "kv-keep" and int(lease) in self.leases:
+            ttl_ms = self.leases[int(lease)][0]
+            self.leases[int(lease)] = (ttl_ms, time.monotonic() + ttl_ms / 1000)
+            return http1.json_answer({"ttl_ms": ttl_ms})
+        if verb == "kv-lease-end" and await self.end_lease(int(lease)):
+            return http1.answer_bytes(200)
+        return http1.answer_bytes(404)
+
+    def list(self, prefix, after):
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        return http1.json_answer({"items": page, "has_more": len(keys) > PAGE_ITEMS,
+                                  "current_rev": self.revision})
+
+    async def watch(self, prefix, after, wait_ms):
+        if after < self.oldest:
+            return http1.answer_bytes(410)
+        end = time.monotonic() + wait_ms / 1000
+        epoch = self.watch_epoch
+        while True:
+            events = [it for it in self.history if it["rev"] > after and it["key"].startswith(prefix)]
+            if events or time.monotonic() >= end:
+                return http1.json_answer({"events": events, "current_rev": self.revision})
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
+                except asyncio.TimeoutError:
+                    pass
+            if epoch != self.watch_epoch or self.failure:
+                return None
+
+    async def transact(self, body):
+        for it in body["expected_rev"]:
+            known = self.items.get(it["key"], {"rev": 0})
+            if known["rev"] != it["rev"]:
+                return http1.json_answer({"items": []}, 412)
+        leases = [it["lease"] for it in body["puts"] if it.get("lease")]
+        if any(it not in self.leases for it in leases):
+            return http1.answer_bytes(404)
+        puts = [(it["key"], base64.b64decode(it["value"]), it.get("lease", 0)) for it in body["puts"]]
+        return http1.json_answer({"rev": await self.apply(puts, body["remove"])})
--- /dev/null
+++ b/tests/soak/soaking/upstreams.py
@@ -0,0 +1,162 @@
+"""Stand-ins of upstreams: they run requests in slots, register in the store and fail in many ways."""
+
+import asyncio
+import collections
+import hashlib
+import time
+
+from . import http1
+from .proxy import Proxy
+
+MOST_QUEUED = 8
+WARM_WORK_S = 0.02
+COLD_OBJECT_WORK_S = 0.06
+REMEMBERED_OBJECTS = 40
+
+
+def seal_of(attempt, upstream, body):
+    return hashlib.sha1(f"{attempt} {upstream} ".encode() + body).hexdigest()
+
+
+class Upstream:
+    """One lifetime of an upstream. `broken`, `garbled` and `slow_by` are its impairments."""
+
+    def __init__(self, world, identity, service, zone, port=0, slots=4):
+        self.world = world
+        self.id = identity
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.port = port
+        self.proxy = None
+        self.server = None
+        self.writers = set()
+        self.running = 0
+        self.waiting = 0
+        self.free_slot = asyncio.Condition()
+        self.objects = collections.OrderedDict()
+        self.lost_answers = 0.0
+        self.garbled = 0.0
+        self.failing = 0.0
+        self.slow_by = 1.0
+        self.cold_until = 0.0
+        self.born_ms = int(time.time() * 1000)
+        # When the store has accepted that the upstream leaves.
+        self.left_at = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.proxy = Proxy(("127.0.0.1", self.port))
+        await self.proxy.start()
+
+    def record(self, state="ready"):
+        cold_s = max(0.0, self.cold_until - time.monotonic())
+        return {"born": self.born_ms, "address": f"127.0.0.1:{self.proxy.port}",
+                "info": {"service": self.service, "config_version": "v1", "zone": self.zone,
+                         "slots": self.slots},
+                "status": {"state": state, "seq": 1, "cold_remaining_ms": int(cold_s * 1000)}}
+
+    async def register(self):
+        await self.world.store.write("servers/" + self.id, self.record())
+
+    async def drain(self):
+        await self.world.store.write("servers/" + self.id, self.record("draining"))
+        self.left_at = time.monotonic()
+
+    async def unregister(self):
+        await self.world.store.remove("servers/" + self.id)
+        self.left_at = self.left_at or time.monotonic()
+
+    def crash(self):
+        """Ends without a word. The record lapses later."""
+        self.server.close()
+        self.proxy.refusing = True
+        self.proxy.reset_all()
+        for writer in list(self.writers):
+            http1.abort(writer)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except http1.CONNECTION_ERRORS:
+            pass
+        except http1.Malformed as error:
+            self.world.checks.violation("UNASKED", f"{self.id} got bytes that are no request: {error}")
+        self.writers.discard(writer)
+        writer.close()
+
+    async def serve_one(self, reader, writer):
+        call = await http1.read_message(reader)
+        if call is None:
+            return False
+        attempt = call.field("x-attempt-id")
+        expected = call.field("x-expected-instance")
+        if expected and expected != self.id:
+            writer.write(http1.answer_bytes(421, [("X-Instance-Id", self.id), ("X-Not-Executed", "1")]))
+            return True
+        self.world.checks.arrived(attempt, self, call)
+        if self.running >= self.slots and self.waiting >= MOST_QUEUED:
+            writer.write(http1.answer_bytes(503, self.load_field() + [("X-Not-Executed", "1")]))
+            return True
+        deadline = time.monotonic() + int(call.field("x-deadline-ms", "10000")) / 1000
+        async with self.free_slot:
+            self.waiting += 1
+            try:
+                await self.free_slot.wait_for(lambda: self.running < self.slots)
+            finally:
+                self.waiting -= 1
+            self.running += 1
+        try:
+            if time.monotonic() >= deadline or writer.transport.is_closing():
+                writer.write(http1.answer_bytes(503, [("X-Not-Executed", "1")]))
+                return True
+            return await self.run(attempt, call, deadline, writer)
+        finally:
+            async with self.free_slot:
+                self.running -= 1
+                self.free_slot.notify()
+
+    async def run(self, attempt, call, deadline, writer):
+        self.world.checks.ran(attempt, self, call)
+        work_s = min(self.work_s(call), max(0.0, deadline - time.monotonic()))
+        await asyncio.sleep(work_s)
+        random = self.world.random
+        status = 504 if time.monotonic() >= deadline else 500 if random.random() < self.failing else 200
+        body = (f"{attempt} {call.method} {call.target} " + "x" * random.randint(0, 3000)).encode()
+        seal = seal_of(attempt, self.id, body)
+        self.world.checks.answered(attempt, status, seal, body)
+        fields = [("X-Attempt-Id", attempt), ("X-Response-Seal", seal)] + self.load_field()
+        made = http1.answer_bytes(status, fields, body)
+        if random.random() < self.lost_answers:
+            http1.abort(writer)
+            return False
+        if random.random() < self.garbled:
+            return self.garble(made, writer)
+        writer.write(made)
+        await writer.drain()
+        return True
+
+    def garble(self, made, writer):
+        """Cuts the answer, follows it by another one, or sends bytes that are no answer."""
+        kind = self.world.random.choice(["cut", "extra", "noise"])
+        writer.write(made[:len(made) // 2] if kind == "cut" else
+                     made + made if kind == "extra" else b"\x00noise\r\n\r\n" + made)
+        if kind == "cut":
+            writer.close()
+        return kind == "extra"
+
+    def load_field(self):
+        return [("X-Server-Load", f"{self.running},{self.waiting},{self.slots},100")]
+
+    def work_s(self, call):
+        key = call.field("cookie", "")
+        known = key in self.objects
+        self.objects[key] = True
+        self.objects.move_to_end(key)
+        if len(self.objects) > REMEMBERED_OBJECTS:
+            self.objects.popitem(last=False)
+        work_s = WARM_WORK_S if known else COLD_OBJECT_WORK_S
+        return work_s * self.slow_by * self.world.random.uniform(0.6, 1.6)
