Share the budget of extra attempts among the entries that are known now

Cause: found reading the code: an entry's part of the budget kept the number of entries known at its first use. Entries that start together begin with the budget of a fleet of one, 42 extra attempts each, where all together may save up 60.

Ruled out: the ratio's part, which does not depend on the number of entries.

Change: what may be saved up follows the view of entries. The soak impairs more upstreams at once and tells planned stops from faults.

Before: director.the_budget_shrinks_when_other_entries_become_known failed (director_test.cpp:297).

--- a/src/gossip/load_exchange.cpp
+++ b/src/gossip/load_exchange.cpp
@@ -1,7 +1,6 @@
 #include "fuchsiaproxy/gossip/load_exchange.hpp"
 
 #include <array>
-#include <unordered_map>
 #include <utility>
 
 #include <boost/asio/ip/udp.hpp>
@@ -61,19 +60,17 @@
         socket_.close(ec);
     }
 
-    void send(steering::peer_load const& it, std::vector<std::string> const& to)
+    void send(steering::peer_load const& it, std::vector<model::endpoint> const& to)
     {
         auto const bytes = to_cbor(it);
-        for (auto const& name : to)
+        for (auto const& peer : to)
         {
-            auto const* const peer = endpoint_of(name);
-            if (peer == nullptr)
+            error_code ec;
+            auto const address = asio::ip::make_address(peer.address, ec);
+            if (!ec)
             {
-                ++counters_.unsent;
-                continue;
+                socket_.send_to(asio::buffer(bytes), udp::endpoint(address, peer.port), 0, ec);
             }
-            error_code ec;
-            socket_.send_to(asio::buffer(bytes), *peer, 0, ec);
             ++(ec ? counters_.unsent : counters_.sent);
         }
     }
@@ -84,25 +81,6 @@
     }
 
 private:
-    udp::endpoint const* endpoint_of(std::string const& name)
-    {
-        auto const known = peers_.find(name);
-        if (known != peers_.end())
-        {
-            return &known->second;
-        }
-        auto const colon = name.rfind(':');
-        error_code ec;
-        auto const address = asio::ip::make_address(name.substr(0, colon), ec);
-        if (ec || colon == std::string::npos)
-        {
-            return nullptr;
-        }
-        auto const port = std::strtoul(name.c_str() + colon + 1, nullptr, 10);
-        auto const peer = udp::endpoint(address, static_cast<std::uint16_t>(port));
-        return &peers_.emplace(name, peer).first->second;
-    }
-
     void wait()
     {
         socket_.async_wait(udp::socket::wait_read,
@@ -144,7 +122,6 @@
     udp::socket socket_;
     model::endpoint at_;
     handler received_;
-    std::unordered_map<std::string, udp::endpoint> peers_;
     std::array<char, largest_datagram> buffer_{};
     exchange_counters counters_;
     bool closed_ = false;
@@ -165,7 +142,7 @@
     return impl_->open();
 }
 
-void load_exchange::send(steering::peer_load const& it, std::vector<std::string> const& to)
+void load_exchange::send(steering::peer_load const& it, std::vector<model::endpoint> const& to)
 {
     impl_->send(it, to);
 }
--- a/src/include/fuchsiaproxy/gossip/load_exchange.hpp
+++ b/src/include/fuchsiaproxy/gossip/load_exchange.hpp
@@ -51,9 +51,9 @@
     /// Binds the socket. Fails with `invalid_settings`. Precondition: called once.
     base::result<std::uint16_t> open();
 
-    /// Sends a load to the entries at the given addresses ("ip:port"). A full socket buffer drops
-    /// it, which is counted.
-    void send(steering::peer_load const& it, std::vector<std::string> const& to);
+    /// Sends a load to the entries at the given addresses. A full socket buffer drops it, which is
+    /// counted.
+    void send(steering::peer_load const& it, std::vector<model::endpoint> const& to);
 
     exchange_counters const& counters() const;
 
--- a/src/include/fuchsiaproxy/limits/extra_attempt_budget.hpp
+++ b/src/include/fuchsiaproxy/limits/extra_attempt_budget.hpp
@@ -33,6 +33,13 @@
     {
     }
 
+    /// Changes the most that can be saved up; what is saved above it is lost.
+    void set_burst(std::uint32_t burst) noexcept
+    {
+        capacity_ = std::uint64_t{burst} * cost;
+        tokens_ = std::min(tokens_, capacity_);
+    }
+
     /// Notes a first attempt.
     void on_first_attempt() noexcept
     {
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -201,7 +201,7 @@
     peer_load load(base::time_point now);
 
     /// Returns the peer addresses of the other entries, those of this entry's region or the rest.
-    std::vector<std::string> peers(bool of_own_region) const;
+    std::vector<model::endpoint> peers(bool of_own_region) const;
 
     /// Performs what is due.
     void tick(base::time_point now, director_actions& out);
--- a/src/include/fuchsiaproxy/steering/records.hpp
+++ b/src/include/fuchsiaproxy/steering/records.hpp
@@ -47,7 +47,7 @@
     /// Where callers connect.
     std::string address;
     /// Where it takes loads from other entries.
-    std::string peer_address;
+    model::endpoint peers_at;
 };
 
 /// All upstreams that discovery lists.
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -27,15 +27,27 @@
     {
         return found->second;
     }
-    auto const share = settings.budget_use / static_cast<double>(entries.size());
     auto const permille = settings.bounds.extra_attempt_ratio * settings.budget_use * 1000;
-    auto const burst = std::max(1.0, settings.bounds.extra_attempt_slack * share);
     return budgets
-        .emplace(service, limits::extra_attempt_budget(static_cast<std::uint32_t>(permille),
-                                                       static_cast<std::uint32_t>(burst)))
+        .emplace(service,
+                 limits::extra_attempt_budget(static_cast<std::uint32_t>(permille), budget_burst()))
         .first->second;
 }
 
+std::uint32_t director::state::budget_burst() const
+{
+    auto const share = settings.budget_use / static_cast<double>(entries.size());
+    return static_cast<std::uint32_t>(std::max(1.0, settings.bounds.extra_attempt_slack * share));
+}
+
+void director::state::share_budgets()
+{
+    for (auto& it : budgets)
+    {
+        it.second.set_burst(budget_burst());
+    }
+}
+
 base::service_id director::state::next_service(route const& it)
 {
     if (it.split.size() == 1)
@@ -76,13 +88,46 @@
 
 void director::state::forget_if_ended(request_map::iterator it)
 {
-    if (it->second.open_attempts == 0 && (it->second.answered || it->second.caller_gone))
+    if (it->second.open_attempts.empty() && (it->second.answered || it->second.caller_gone))
     {
         requests.erase(it);
     }
 }
 
-/// Sends the request to an upstream, or ends it.
+selection director::state::choose(request_state& request, service const& declared,
+                                  base::time_point now)
+{
+    selection_query query;
+    query.of = request.of;
+    query.declared = &declared;
+    query.work = request.work;
+    query.object = request.object;
+    query.tried = &request.tried;
+    show_peer_loads(request.service);
+    auto chosen = choice.pick(upstreams.of(request.service), query, now);
+    request.service_load = chosen.service_load;
+    request.expected =
+        std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(chosen.expected));
+    return chosen;
+}
+
+bool director::state::pay_for_attempt(request_state& request)
+{
+    auto& budget = budget_of(request.service);
+    if (request.arrivals > 0)
+    {
+        auto const paid = budget.try_take();
+        ++(paid ? counters.extra_attempts : counters.over_budget);
+        return paid;
+    }
+    if (!std::exchange(request.counted, true))
+    {
+        ++counters.first_attempts;
+        budget.on_first_attempt();
+    }
+    return true;
+}
+
 void director::state::dispatch(request_map::iterator it, base::time_point now,
                                director_actions& out)
 {
@@ -94,19 +139,10 @@
             out);
         return;
     }
-    auto const declared = config->services.find(request.service);
     static service const undeclared;
-    selection_query query;
-    query.of = request.of;
-    query.declared = declared == config->services.end() ? &undeclared : &declared->second;
-    query.work = request.work;
-    query.object = request.object;
-    query.tried = &request.tried;
-    show_peer_loads(request.service);
-    auto const chosen = choice.pick(upstreams.of(request.service), query, now);
-    request.service_load = chosen.service_load;
-    request.expected =
-        std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(chosen.expected));
+    auto const found = config->services.find(request.service);
+    auto const& declared = found == config->services.end() ? undeclared : found->second;
+    auto const chosen = choose(request, declared, now);
     if (!chosen.upstream)
     {
         end(it, request.may_have_run ? error_kind::upstream_failed : error_kind::no_upstream, out);
@@ -117,26 +153,12 @@
         end(it, error_kind::overloaded, out);
         return;
     }
-    auto const& budget_key = request.service;
-    if (request.arrivals == 0)
+    if (!pay_for_attempt(request))
     {
-        if (!std::exchange(request.counted, true))
-        {
-            ++counters.first_attempts;
-            budget_of(budget_key).on_first_attempt();
-        }
-    }
-    else if (!budget_of(budget_key).try_take())
-    {
-        ++counters.over_budget;
         end(it, request.may_have_run ? error_kind::upstream_failed : error_kind::overloaded, out);
         return;
     }
-    else
-    {
-        ++counters.extra_attempts;
-    }
-    start(it, chosen, *query.declared, now, out);
+    start(it, chosen, declared, now, out);
 }
 
 /// Returns whether a request may be sent on a busy service: only if its answer is expected on time,
@@ -186,7 +208,7 @@
     }
     attempts.emplace(id, std::move(made));
     ++upstream.in_flight;
-    ++request.open_attempts;
+    request.open_attempts.push_back(id);
     request.tried.push_back(chosen.upstream);
     out.push_back(start_attempt{it->first, id, upstream.record.id, upstream.record.at,
                                 request.deadline, request.of->idempotent});
@@ -360,7 +382,8 @@
         return;
     }
     auto& request = at->second;
-    --request.open_attempts;
+    auto& open = request.open_attempts;
+    open.erase(std::remove(open.begin(), open.end(), attempt), open.end());
     if (request.answered || request.caller_gone)
     {
         my.forget_if_ended(at);
@@ -403,11 +426,11 @@
     }
     ++my.counters.callers_gone;
     at->second.caller_gone = true;
-    for (auto const& it : my.attempts)
+    if (at->second.of->idempotent)
     {
-        if (it.second.request == request && at->second.of->idempotent)
+        for (auto const& it : at->second.open_attempts)
         {
-            out.push_back(cancel_attempt{it.first});
+            out.push_back(cancel_attempt{it});
         }
     }
     my.forget_if_ended(at);
@@ -417,6 +440,7 @@
 {
     state_->upstreams.tick(now);
     state_->entries.tick(now);
+    state_->share_budgets();
     state_->peers.tick(now);
     state_->report_left(out);
 }
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -92,7 +92,7 @@
     return made;
 }
 
-std::vector<std::string> director::peers(bool of_own_region) const
+std::vector<model::endpoint> director::peers(bool of_own_region) const
 {
     return state_->entries.peers(of_own_region);
 }
@@ -121,14 +121,17 @@
         void operator()(entries_listed const& it) const
         {
             my.entries.list(it.all, now);
+            my.share_budgets();
         }
         void operator()(entry_changed const& it) const
         {
             my.entries.change(it.it);
+            my.share_budgets();
         }
         void operator()(entry_removed const& it) const
         {
             my.entries.remove(it.id, now);
+            my.share_budgets();
             my.peers.forget(it.id);
         }
         void operator()(zones_evacuated const& it) const
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -32,7 +32,7 @@
     base::time_point arrived;
     base::time_point deadline;
     std::vector<upstream_ptr> tried;
-    std::uint32_t open_attempts = 0;
+    std::vector<base::attempt_id> open_attempts;
     /// Attempts that reached an upstream, and those that did not.
     std::uint32_t arrivals = 0;
     std::uint32_t unsent = 0;
@@ -70,8 +70,16 @@
     state(director_settings const& it, director_identity who, std::uint64_t seed);
 
     limits::extra_attempt_budget& budget_of(base::service_id const& service);
+    /// Returns the extra attempts that this entry may save up for a service.
+    std::uint32_t budget_burst() const;
+    /// Takes a change of the number of entries, which share the budgets.
+    void share_budgets();
     base::service_id next_service(route const& it);
+    /// Sends the request to an upstream, or ends it.
     void dispatch(request_map::iterator it, base::time_point now, director_actions& out);
+    selection choose(request_state& request, service const& declared, base::time_point now);
+    /// Takes an attempt from the service's budget; returns false if none is left.
+    bool pay_for_attempt(request_state& request);
     bool is_worth_sending(request_state const& request, selection const& chosen,
                           base::time_point now) const;
     void start(request_map::iterator it, selection const& chosen, service const& declared,
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -105,6 +105,34 @@
         tell(listed);
         out.clear();
     }
+    void list_entries(int count)
+    {
+        entries_listed entries;
+        for (int n = 1; n <= count; ++n)
+        {
+            entries.all.push_back({base::instance_id("e" + std::to_string(n)),
+                                   base::availability_zone_id("north-a"),
+                                   base::region_id("north"),
+                                   "",
+                                   {}});
+        }
+        tell(entries);
+    }
+    /// Sends requests of which each first attempt is refused by its upstream.
+    void serve_with_refusals(int requests)
+    {
+        for (int n = 0; n < requests; ++n)
+        {
+            request("/read/a", std::to_string(n));
+            finish(started(), ended(attempt_result::shed, 503));
+            if (auto const* const again = action<start_attempt>())
+            {
+                auto const which = *again;
+                it.on_attempt_head(which.attempt, 200, now, out);
+                finish(which, ended(attempt_result::completed, 200));
+            }
+        }
+    }
     void lose_store()
     {
         tell(store_lost{});
@@ -244,28 +272,11 @@
 // Guards against retries that each entry spends as if it were alone.
 TEST(director, repeats_stay_within_this_entrys_part_of_the_budget)
 {
-    entries_listed entries;
-    for (int n = 1; n <= 12; ++n)
-    {
-        entries.all.push_back({base::instance_id("e" + std::to_string(n)),
-                               base::availability_zone_id("north-a"), base::region_id("north"), "",
-                               ""});
-    }
-    tell(entries);
+    list_entries(12);
     configure();
     serve({"u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8"});
     constexpr int requests = 200;
-    for (int n = 0; n < requests; ++n)
-    {
-        request("/read/a", std::to_string(n));
-        finish(started(), ended(attempt_result::shed, 503));
-        if (auto const* const again = action<start_attempt>())
-        {
-            auto const which = *again;
-            it.on_attempt_head(which.attempt, 200, now, out);
-            finish(which, ended(attempt_result::completed, 200));
-        }
-    }
+    serve_with_refusals(requests);
     auto const& bounds = settings.bounds;
     auto const most = requests * bounds.extra_attempt_ratio + bounds.extra_attempt_slack / 12;
     CHECK(static_cast<double>(it.counters().extra_attempts) <= most);
@@ -273,6 +284,21 @@
 }
 
 // Guards against work for an upstream that is leaving, has left, or whose address has another one.
+// Guards against entries that start together, each with the budget of a fleet of one, and keep it
+// once they know each other.
+TEST(director, the_budget_shrinks_when_other_entries_become_known)
+{
+    configure();
+    serve({"u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8"});
+    serve_with_refusals(1);
+    LONGS_EQUAL(1, it.counters().extra_attempts);
+    list_entries(12);
+    serve_with_refusals(20);
+    auto const most =
+        20 * settings.bounds.extra_attempt_ratio + settings.bounds.extra_attempt_slack / 12 + 1;
+    CHECK(static_cast<double>(it.counters().extra_attempts) <= most);
+}
+
 TEST(director, upstreams_that_leave_get_no_new_work)
 {
     configure();
--- a/src/steering/entry_view.cpp
+++ b/src/steering/entry_view.cpp
@@ -123,15 +123,15 @@
     return made;
 }
 
-std::vector<std::string> entry_view::peers(bool of_own_region) const
+std::vector<model::endpoint> entry_view::peers(bool of_own_region) const
 {
-    std::vector<std::string> made;
+    std::vector<model::endpoint> made;
     for (auto const& it : all_)
     {
         auto const& record = it.second.record;
         if (it.first != self_.id && (record.region == self_.region) == of_own_region)
         {
-            made.push_back(record.peer_address);
+            made.push_back(record.peers_at);
         }
     }
     return made;
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -48,7 +48,7 @@
     std::map<base::region_id, double> regions() const;
 
     /// Returns the peer addresses of the other entries, those of the own region or the rest.
-    std::vector<std::string> peers(bool of_own_region) const;
+    std::vector<model::endpoint> peers(bool of_own_region) const;
 
     /// Returns up to `most` addresses for callers in `zone`: those of its region, or of all regions
     /// when it has none.
--- a/tests/soak/soaking/checks.py
+++ b/tests/soak/soaking/checks.py
@@ -26,7 +26,8 @@
 
 
 class Checks:
-    """Counts and violations. `troubles` holds (begin, end, scope): an entry's name or "store"."""
+    """Counts and violations. `troubles` holds (begin, end, scope, planned); the scope is an entry's
+    name, "store", "callers" or "upstreams"."""
 
     def __init__(self, world):
         self.world = world
@@ -41,15 +42,15 @@
         at = time.monotonic() - self.world.began
         self.violations.append((promise, f"{at:.2f} s: {text}"))
 
-    def trouble(self, scope, seconds):
+    def trouble(self, scope, seconds, planned=False):
         now = time.monotonic()
-        self.troubles.append((now, now + seconds, scope))
+        self.troubles.append((now, now + seconds, scope, planned))
 
     def in_touch(self, entry, since):
         """Whether nothing has disturbed the entry or the store from `stability` before `since`."""
         begin = since - self.world.bounds["stability_s"]
         return not any(scope in (entry.name, "store") and end >= begin
-                       for _, end, scope in self.troubles) and self.punctual(begin)
+                       for _, end, scope, _ in self.troubles) and self.punctual(begin)
 
     def punctual(self, since):
         late = any(at >= since and lateness > PUNCTUAL_S for at, lateness in self.latenesses)
@@ -87,7 +88,7 @@
         planned = ends is not None and it.sent_at < ends + self.world.bounds["grace_s"] / 2
         calm = not any(scope in (it.entry.name, "callers", "upstreams") and
                        end >= it.sent_at - self.world.bounds["stability_s"]
-                       for _, end, scope in self.troubles if scope != "planned")
+                       for _, end, scope, planned in self.troubles if not planned)
         if planned and calm and it.arrivals and self.punctual(it.sent_at):
             self.violation("LOST", f"{attempt} reached an upstream and was cut by the stop of {it.entry.name}")
 
@@ -98,7 +99,7 @@
             self.violation("HELD", f"{attempt} had no answer from {it.entry.name} in {it.route.time_limit_s} s")
 
     def troubled(self, scope, since):
-        return any(it == scope and end >= since for _, end, it in self.troubles)
+        return any(it == scope and end >= since for _, end, it, _ in self.troubles)
 
     def named(self, by, entries):
         now = time.monotonic()
--- a/tests/soak/soaking/faults.py
+++ b/tests/soak/soaking/faults.py
@@ -8,6 +8,8 @@
 # Upstreams whose record is gone still serve this long, as those of the platform do.
 SERVES_ON_S = 6.0
 ADDRESS_REUSE_S = 2.0
+# Upstreams that are slow, fail or lose answers at the same time.
+IMPAIRED_SHARE = 0.4
 
 
 class Faults:
@@ -29,7 +31,7 @@
                 self.burst, self.upstream_crash, self.upstream_drain, self.upstream_replaced,
                 self.upstream_slow, self.upstream_loses_answers, self.upstream_garbles,
                 self.upstream_fails, self.upstream_silent, self.upstream_joins, self.route_moves,
-                self.time_limit_changes, self.evacuate]
+                self.route_moves, self.time_limit_changes, self.evacuate, self.evacuate]
 
     async def run(self, seconds):
         end = time.monotonic() + seconds
@@ -59,24 +61,23 @@
     # Entries.
 
     async def kill_entry(self, rng):
-        await self.replace_process(rng, lambda entry: entry.kill())
+        await self.replace_process(rng, lambda entry: entry.kill(), planned=False)
 
     async def roll_entry(self, rng):
         async def stop(entry):
-            self.checks.trouble("planned", self.world.bounds["grace_s"] + 1)
             if not await entry.stop():
                 self.checks.violation("STOP", f"{entry.name} did not end within its grace time")
-        await self.replace_process(rng, stop)
+        await self.replace_process(rng, stop, planned=True)
 
-    async def replace_process(self, rng, end):
+    async def replace_process(self, rng, end, planned):
         entry = self.idle_entry(rng)
         if entry is None:
             return
         self.busy.add(entry.name)
-        self.checks.trouble(entry.name, self.world.bounds["grace_s"])
+        self.checks.trouble(entry.name, self.world.bounds["grace_s"], planned)
         await end(entry)
         down_s = self.span(rng, 0.1, 1.5)
-        self.checks.trouble(entry.name, down_s + 0.5)
+        self.checks.trouble(entry.name, down_s + 0.5, planned)
         await asyncio.sleep(down_s)
         await entry.start()
         self.busy.discard(entry.name)
@@ -239,14 +240,14 @@
         await self.world.add_upstream(it.service, it.zone, cold_s=3.0)
 
     async def impair(self, rng, name, value, usual):
-        it = self.upstream(rng)
-        if it is None:
-            return
         seconds = self.span(rng)
         self.checks.trouble("upstreams", seconds + 2)
-        setattr(it, name, value)
+        impaired = [it for it in self.world.upstreams if rng.random() < IMPAIRED_SHARE]
+        for it in impaired:
+            setattr(it, name, value)
         await asyncio.sleep(seconds)
-        setattr(it, name, usual)
+        for it in impaired:
+            setattr(it, name, usual)
 
     async def upstream_slow(self, rng):
         await self.impair(rng, "slow_by", 6.0, 1.0)
@@ -279,7 +280,7 @@
 
     async def route_moves(self, rng):
         route = rng.choice(self.world.routes)
-        service = rng.choice(["browse", "orders"])
+        service = "orders" if route.history[-1][1] == "browse" else "browse"
         route.history.append((float("inf"), service))
         await self.world.configure()
         route.history[-1] = (time.monotonic(), service)
@@ -295,6 +296,6 @@
             return
         await self.world.store.write("op/evacuate/" + zone, {})
         self.world.evacuated[zone] = time.monotonic()
-        await asyncio.sleep(self.span(rng, 6.0, 8.0))
+        await asyncio.sleep(self.span(rng, 7.0, 12.0))
         self.world.evacuated.pop(zone)
         await self.world.store.remove("op/evacuate/" + zone)
--- a/tests/soak/soaking/upstreams.py
+++ b/tests/soak/soaking/upstreams.py
@@ -39,6 +39,8 @@
         self.garbled = 0.0
         self.failing = 0.0
         self.slow_by = 1.0
+        # Answers that are sent a second time, before the next one of their connection.
+        self.stale = {}
         self.cold_until = 0.0
         self.born_ms = int(time.time() * 1000)
         # When the store has accepted that the upstream leaves.
@@ -125,6 +127,8 @@
         await asyncio.sleep(work_s)
         random = self.world.random
         status = 504 if time.monotonic() >= deadline else 500 if random.random() < self.failing else 200
+        if writer in self.stale:
+            writer.write(self.stale.pop(writer))
         body = (f"{attempt} {call.method} {call.target} " + "x" * random.randint(0, 3000)).encode()
         seal = seal_of(attempt, self.id, body)
         self.world.checks.answered(attempt, status, seal, body)
@@ -134,19 +138,26 @@
             http1.abort(writer)
             return False
         if random.random() < self.garbled:
-            return self.garble(made, writer)
+            return await self.garble(made, writer)
         writer.write(made)
         await writer.drain()
         return True
 
-    def garble(self, made, writer):
-        """Cuts the answer, follows it by another one, or sends bytes that are no answer."""
-        kind = self.world.random.choice(["cut", "extra", "noise"])
-        writer.write(made[:len(made) // 2] if kind == "cut" else
-                     made + made if kind == "extra" else b"\x00noise\r\n\r\n" + made)
+    async def garble(self, made, writer):
+        """Cuts the answer, follows it by another one at once or in place of the next, or sends bytes
+        that are no answer."""
+        kind = self.world.random.choice(["cut", "extra", "stale", "noise"])
         if kind == "cut":
+            writer.write(made[:len(made) // 2])
             writer.close()
-        return kind == "extra"
+        elif kind == "noise":
+            writer.write(b"\x00noise\r\n\r\n" + made)
+        elif kind == "extra":
+            writer.write(made + made)
+        else:
+            writer.write(made)
+            self.stale[writer] = made
+        return kind in ("extra", "stale")
 
     def load_field(self):
         return [("X-Server-Load", f"{self.running},{self.waiting},{self.slots},100")]
--- a/tests/soak/soaking/world.py
+++ b/tests/soak/soaking/world.py
@@ -20,8 +20,8 @@
 HOST = "soak.example"
 # Bounds that the settings file states, as on the platform.
 BOUNDS = {"stability_s": 3.0, "drain_s": 2.5, "evacuation_s": 5.0, "config_apply_s": 2.5,
-          "grace_s": 6.0, "retry_ratio": 0.2, "retry_slack": 60, "cold_per_s": 10,
-          "cold_overshoot": 1.5, "cold_slack": 5}
+          "grace_s": 6.0, "retry_ratio": 0.2, "retry_slack": 60, "cold_per_s": 5,
+          "cold_overshoot": 1.5, "cold_slack": 3}
 FIRST_ADDRESS = 10
 
 
