Try: entries share how attempts at each upstream end

Change: loads carry, for each upstream, attempts that ended, failures and the time that they took relative to what was expected; all entries fold them into a rate of failures and a slowness that fade.

A slow attempt ends too late to be news, false alarms move objects to upstreams where they are cold, and the datagrams cost more.

--- a/src/steering/upstream_state.hpp
+++ b/src/steering/upstream_state.hpp
@@ -12,6 +12,7 @@
 #include "fuchsiaproxy/steering/peer_load.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
 #include "hashing.hpp"
+#include "upstream_health.hpp"
 
 namespace fuchsiaproxy::steering
 {
@@ -48,7 +49,7 @@
     std::uint32_t untold_pace = 0;
     base::time_point report_at = base::time_point::min();
 
-    double failure_rate = 0;
+    upstream_health health;
     std::uint32_t connect_failures = 0;
     base::time_point suspended_until = base::time_point::min();
 
