--- a/src/gossip/load_codec.cpp
+++ b/src/gossip/load_codec.cpp
@@ -11,9 +11,8 @@
 
 using nlohmann::json;
 
-constexpr std::uint32_t format_version = 3;
+constexpr std::uint32_t format_version = 2;
 constexpr std::size_t figures_per_upstream = 3;
-constexpr std::size_t figures_per_outcome = 4;
 
 std::uint32_t figure(json const& it)
 {
@@ -25,11 +24,6 @@
     return static_cast<std::uint32_t>(value);
 }
 
-bool is_table(json const& it, std::size_t columns)
-{
-    return it.is_array() && it.size() % columns == 0;
-}
-
 } // namespace
 
 std::string to_cbor(steering::peer_load const& it)
@@ -41,17 +35,9 @@
         figures.push_back(one.in_flight);
         figures.push_back(one.pace_percent);
     }
-    auto outcomes = json::array();
-    for (auto const& one : it.outcomes)
-    {
-        outcomes.push_back(one.upstream);
-        outcomes.push_back(one.finished);
-        outcomes.push_back(one.failed);
-        outcomes.push_back(one.time_percent);
-    }
     json const message =
         json::array({format_version, it.from.value(), it.sequence, std::move(figures),
-                     it.revision.value(), std::move(outcomes)});
+                     it.revision.value()});
     std::string out;
     json::to_cbor(message, out);
     return out;
@@ -63,9 +49,8 @@
     {
         auto const message = json::from_cbor(bytes.begin(), bytes.end());
         auto const& figures = message.at(3);
-        auto const& outcomes = message.at(5);
-        if (message.at(0) != format_version || !is_table(figures, figures_per_upstream) ||
-            !is_table(outcomes, figures_per_outcome))
+        if (message.at(0) != format_version || !figures.is_array() ||
+            figures.size() % figures_per_upstream != 0)
         {
             return base::make_error(base::error_kind::bad_message, "not a load of this version");
         }
@@ -78,11 +63,6 @@
             made.upstreams.push_back(
                 {figure(figures[n]), figure(figures[n + 1]), figure(figures[n + 2])});
         }
-        for (std::size_t n = 0; n < outcomes.size(); n += figures_per_outcome)
-        {
-            made.outcomes.push_back({figure(outcomes[n]), figure(outcomes[n + 1]),
-                                     figure(outcomes[n + 2]), figure(outcomes[n + 3])});
-        }
         return made;
     }
     catch (std::exception const& ex)
--- a/src/gossip/load_codec_test.cpp
+++ b/src/gossip/load_codec_test.cpp
@@ -14,8 +14,7 @@
     return {base::instance_id("e1"),
             7,
             {{0xffffffffU, 3, 250}, {1, 0, 100}},
-            steering::control_revision(1ULL << 40U),
-            {{1, 4, 1, 350}}};
+            steering::control_revision(1ULL << 40U)};
 }
 
 } // namespace
@@ -28,9 +27,6 @@
     CHECK(read.has_value());
     CHECK(read.value().from == base::instance_id("e1"));
     LONGS_EQUAL(7, read.value().sequence);
-    LONGS_EQUAL(1, read.value().outcomes.size());
-    LONGS_EQUAL(4, read.value().outcomes[0].finished);
-    LONGS_EQUAL(350, read.value().outcomes[0].time_percent);
     CHECK(read.value().revision == steering::control_revision(1ULL << 40U));
     LONGS_EQUAL(2, read.value().upstreams.size());
     CHECK(read.value().upstreams[0].upstream == 0xffffffffU);
@@ -47,8 +43,8 @@
         CHECK_FALSE(gossip::parse_load(whole.substr(0, n)).has_value());
     }
     for (std::string const text :
-         {"\x80", "\xa0", "\x84\x02\x61\x61\x01\x80", "\x86\x02\x61\x61\x01\x80\x01\x80",
-          "\x86\x03\x61\x61\x01\x81\x01\x01\x80", "\x86\x03\x61\x61\x01\x80\x01\x81\x01", "hello"})
+         {"\x80", "\xa0", "\x84\x02\x61\x61\x01\x80", "\x85\x01\x61\x61\x01\x80\x01",
+          "\x85\x02\x61\x61\x01\x81\x01\x01", "hello"})
     {
         CHECK_FALSE(gossip::parse_load(text).has_value());
     }
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -57,13 +57,8 @@
 
     /// Weight of a new measurement in the means of work times.
     double work_gain = 0.05;
-    /// Weight of a new outcome in an upstream's rate of failures and in its slowness.
-    double outcome_gain = 0.12;
-    /// Time after which, without new outcomes, an upstream's rate of failures and its slowness have
-    /// lost most of their meaning. It is then tried again.
-    base::duration outcome_memory = std::chrono::seconds(2);
-    /// Slowness below which an upstream counts as usual: requests differ in their work.
-    double least_slowness = 2.5;
+    /// Weight of a new outcome in an upstream's rate of failures.
+    double failure_gain = 0.2;
     /// Age at which another entry's load no longer counts.
     base::duration peer_memory = std::chrono::milliseconds(1500);
     /// Age at which a load report has lost most of its meaning.
--- a/src/include/fuchsiaproxy/steering/peer_load.hpp
+++ b/src/include/fuchsiaproxy/steering/peer_load.hpp
@@ -24,17 +24,6 @@
     std::uint32_t pace_percent = 0;
 };
 
-/// How attempts of one entry at one upstream have ended since its last message.
-struct upstream_outcome
-{
-    upstream_tag upstream = 0;
-    /// Attempts that ended, and those of them that failed.
-    std::uint32_t finished = 0;
-    std::uint32_t failed = 0;
-    /// Mean of the time that they took, in percent of the time that was expected.
-    std::uint32_t time_percent = 100;
-};
-
 /// The load that one entry puts on the upstreams. Upstreams that are not named have none of it.
 struct peer_load
 {
@@ -44,7 +33,6 @@
     std::vector<upstream_load> upstreams;
     /// How far the entry has followed the control plane.
     control_revision revision{};
-    std::vector<upstream_outcome> outcomes;
 };
 
 } // namespace fuchsiaproxy::steering
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -191,15 +191,8 @@
     }
     auto const memory = settings.report_memory;
     auto const id = base::attempt_id(++last_attempt);
-    auto const slowness = upstream.health.slowness(settings, now);
     attempt_state made{it->first, chosen.upstream, now, chosen.rank,
-                       upstream.slowdown(now, memory) * slowness};
-    made.work = request.work;
-    made.usual = request.expected;
-    if (slowness > 1)
-    {
-        made.usual = std::chrono::duration_cast<base::duration>(request.expected / slowness);
-    }
+                       upstream.slowdown(now, memory)};
     made.waited = chosen.wait > 0;
     made.why.trace_id = request.trace_id;
     made.why.route = request.of->name;
@@ -238,6 +231,10 @@
     {
         upstream.gone = true;
     }
+    auto const failed = end.result == attempt_result::broken ||
+                        end.result == attempt_result::timed_out ||
+                        (end.result == attempt_result::completed && end.status >= 500) ||
+                        end.result == attempt_result::shed;
     if (end.result == attempt_result::connect_failed)
     {
         auto const doubled =
@@ -247,43 +244,15 @@
         ++upstream.connect_failures;
         return;
     }
+    if (end.result == attempt_result::cancelled || end.result == attempt_result::not_sent)
+    {
+        return;
+    }
     if (end.result == attempt_result::completed)
     {
         upstream.connect_failures = 0;
     }
-    examine(it, end, now);
-}
-
-void director::state::examine(attempt_state const& it, attempt_end const& end,
-                              base::time_point now) const
-{
-    auto const took = std::chrono::duration<double>(now - it.started).count();
-    auto const ratio = it.work->relative(took / std::chrono::duration<double>(it.usual).count());
-    auto& health = it.upstream->health;
-    switch (end.result)
-    {
-    case attempt_result::completed:
-        // A failure may come at once, whatever the upstream's pace.
-        health.note(end.status >= 500, end.status >= 500 ? std::max(ratio, 1.0) : ratio, settings,
-                    now);
-        return;
-    case attempt_result::broken:
-    case attempt_result::shed:
-        health.note(true, 1, settings, now);
-        return;
-    case attempt_result::timed_out:
-        health.note(true, std::max(ratio, 1.0), settings, now);
-        return;
-    case attempt_result::cancelled:
-        // It took this long at least.
-        if (ratio > settings.least_slowness)
-        {
-            health.note(false, ratio, settings, now);
-        }
-        return;
-    default:
-        return;
-    }
+    upstream.failure_rate += ((failed ? 1 : 0) - upstream.failure_rate) * settings.failure_gain;
 }
 
 /// Reports why the attempt was made and how it ended.
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -62,13 +62,6 @@
             out.push_back(overtaken{it.revision});
         }
     }
-    for (auto const& one : it.outcomes)
-    {
-        if (auto* const known = my.upstreams.tagged(one.upstream))
-        {
-            known->health.take(one, my.settings, now);
-        }
-    }
     for (auto const& one : it.upstreams)
     {
         auto const known = one.pace_percent == 0 ? nullptr : my.upstreams.tagged(one.upstream);
@@ -95,11 +88,6 @@
             {
                 made.upstreams.push_back({it.tag(), it.in_flight, pace});
             }
-            auto const outcome = it.health.take_untold(it.tag());
-            if (outcome.finished > 0)
-            {
-                made.outcomes.push_back(outcome);
-            }
         });
     return made;
 }
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -57,10 +57,6 @@
     std::size_t rank = told_ranks;
     /// Expected slowdown of the upstream's machine at the start.
     double slowdown = 1;
-    /// Times of the route; lives as long as the director.
-    route_work* work = nullptr;
-    /// Time to an answer that was expected of an upstream that is not slower than usual.
-    base::duration usual{};
     /// A wait for a slot was expected, so the time that it takes says little of the work.
     bool waited = false;
     /// What decided the choice.
@@ -93,8 +89,6 @@
     void judge(attempt_state const& it, attempt_end const& end, base::time_point now);
     void explain(attempt_state& it, attempt_end const& end, base::time_point now,
                  director_actions& out) const;
-    /// Takes what the end of an attempt says of the health of its upstream.
-    void examine(attempt_state const& it, attempt_end const& end, base::time_point now) const;
     void measure(attempt_state const& it, request_state const& request, base::time_point now);
     void adopt(std::shared_ptr<configuration const> const& offered, director_actions& out);
     void report_left(director_actions& out);
--- a/src/steering/selector.cpp
+++ b/src/steering/selector.cpp
@@ -114,8 +114,8 @@
     auto const memory = settings_.report_memory;
     auto const slots = static_cast<double>(std::max(1U, it.record.slots));
     auto const load = it.in_flight + it.foreign(now, memory);
-    auto const slowdown = it.slowdown(now, memory) * it.health.slowness(settings_, now) *
-                          (it.is_cold(now) ? settings_.cold_slowdown : 1);
+    auto const slowdown =
+        it.slowdown(now, memory) * (it.is_cold(now) ? settings_.cold_slowdown : 1);
     auto const work = query.work->at(rank) * slowdown;
     auto const ahead = std::max(0.0, load + 1 - slots);
     auto const wait = query.work->typical() * slowdown * ahead / slots;
@@ -125,8 +125,8 @@
     // Below full slots there is no wait, but the load still counts a little, which spreads
     // requests.
     auto const crowding = query.work->typical() * settings_.load_aversion * load / slots;
-    auto const failures = it.health.failure_rate(settings_, now) * settings_.failure_cost *
-                          seconds(query.of->latency_goal);
+    auto const failures =
+        it.failure_rate * settings_.failure_cost * seconds(query.of->latency_goal);
     std::uniform_real_distribution<double> spread(1, 1 + settings_.cost_spread);
     made.cost = (made.expected + work * slot_price + crowding + failures) * spread(random_);
     return made;
--- a/src/steering/upstream_state.hpp
+++ b/src/steering/upstream_state.hpp
@@ -12,7 +12,6 @@
 #include "fuchsiaproxy/steering/peer_load.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
 #include "hashing.hpp"
-#include "upstream_health.hpp"
 
 namespace fuchsiaproxy::steering
 {
@@ -49,7 +48,7 @@
     std::uint32_t untold_pace = 0;
     base::time_point report_at = base::time_point::min();
 
-    upstream_health health;
+    double failure_rate = 0;
     std::uint32_t connect_failures = 0;
     base::time_point suspended_until = base::time_point::min();
 
--- a/src/steering/work_times.hpp
+++ b/src/steering/work_times.hpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -49,16 +48,6 @@
         mean += (std::min(time, mean * most) - mean) * gain;
     }
 
-    /// Takes how much longer than expected an attempt took, and returns it relative to the other
-    /// attempts of late: when all take longer, as after a start, no upstream is slower than others.
-    double relative(double time_ratio)
-    {
-        constexpr double gain = 0.1;
-        auto const log_ratio = std::log(std::max(time_ratio, 0.01));
-        log_ratio_ += (log_ratio - log_ratio_) * gain;
-        return std::exp(log_ratio - log_ratio_);
-    }
-
     /// Returns the mean over the work that is done, for waits.
     double typical() const
     {
@@ -67,8 +56,6 @@
 
 private:
     std::array<double, told_ranks> means_{};
-    /// Mean of the logarithm of what attempts took, relative to what was expected.
-    double log_ratio_ = 0;
 };
 
 /// Work times of all routes, learned from answers.
