Explain a request from the logs: fuchsiactl explain

Cause: an on-call engineer had to join the lines of a request with the changes of state around it by hand.

Change: fuchsiactl explain ID [LOG...] reads the entries' logs, prints the request's lines, what changed on its entry and its upstreams within 5 s, and a sentence for each attempt and answer.

Tests: request_history, four.

--- a/src/fuchsiactl/command_line.cpp
+++ b/src/fuchsiactl/command_line.cpp
@@ -29,7 +29,7 @@
 cxxopts::Options declared()
 {
     cxxopts::Options out("fuchsiactl", "Control of fuchsiaproxy\n");
-    out.positional_help("[COMMAND...]");
+    out.positional_help("[COMMAND...]\n  fuchsiactl explain ID [LOG...]");
     auto add = out.add_options();
     add("entry", "address of an entry's operators' API [FUCHSIACTL_ENTRY]",
         cxxopts::value<std::string>()->default_value(
@@ -121,7 +121,21 @@
         out.json = output == "json";
         if (parsed.count("words") != 0)
         {
-            out.commands = join(parsed["words"].as<std::vector<std::string>>());
+            auto const& words = parsed["words"].as<std::vector<std::string>>();
+            if (words.front() != "explain")
+            {
+                out.commands = join(words);
+            }
+            else if (words.size() == 1)
+            {
+                return make_error(error_kind::invalid_command,
+                                  "explain: expected the id of a request, then log files");
+            }
+            else
+            {
+                out.explained_id = words[1];
+                out.logs.assign(words.begin() + 2, words.end());
+            }
         }
         return out;
     }
--- a/src/fuchsiactl/command_line.hpp
+++ b/src/fuchsiactl/command_line.hpp
@@ -21,6 +21,10 @@
     std::chrono::milliseconds timeout{};
     bool json = false;
     bool help = false;
+    /// Id of the request that `explain` is asked for, and the logs to read; empty logs mean
+    /// standard input. The id is empty for any other command.
+    std::string explained_id;
+    std::vector<std::string> logs;
     /// Commands to execute; empty to read them from standard input.
     std::string commands;
     std::string help_text;
--- a/src/fuchsiactl/main.cpp
+++ b/src/fuchsiactl/main.cpp
@@ -1,7 +1,9 @@
 #include <openssl/rand.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <fstream>
 #include <iostream>
 #include <iterator>
 #include <string>
@@ -10,6 +12,7 @@
 #include "command_line.hpp"
 #include "fuchsiaproxy/model/manifest.hpp"
 #include "fuchsiaproxy/operators/console.hpp"
+#include "fuchsiaproxy/telemetry/request_history.hpp"
 #include "interactive.hpp"
 
 namespace
@@ -48,6 +51,34 @@
             given.json};
 }
 
+/// Prints what the logs say of one request.
+int explain(fuchsiactl::options const& given)
+{
+    std::vector<telemetry::log_record> logs;
+    auto const add = [&](std::istream& in, std::string const& source)
+    {
+        auto read = telemetry::read_log(in, source);
+        std::move(read.begin(), read.end(), std::back_inserter(logs));
+    };
+    for (auto const& path : given.logs)
+    {
+        std::ifstream in(path);
+        if (!in)
+        {
+            std::cerr << "fuchsiactl: cannot read \"" << path << "\"\n";
+            return base::answer_for(base::error_kind::invalid_command).exit_code;
+        }
+        add(in, path);
+    }
+    if (given.logs.empty())
+    {
+        add(std::cin, "standard input");
+    }
+    auto const history = telemetry::explain_request(logs, given.explained_id);
+    std::cout << telemetry::to_text(history, given.explained_id);
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -64,6 +95,10 @@
         std::cout << options.help_text << "\n" << operators::command_help();
         return 0;
     }
+    if (!options.explained_id.empty())
+    {
+        return explain(options);
+    }
     operators::console console(environment_for(options));
     if (!options.commands.empty())
     {
--- /dev/null
+++ b/src/telemetry/request_history.cpp
@@ -0,0 +1,244 @@
+#include "fuchsiaproxy/telemetry/request_history.hpp"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace fuchsiaproxy::telemetry
+{
+namespace
+{
+
+using nlohmann::json;
+
+// Changes of state this long before a request's first line, or after its last, may bear on it. An
+// upstream's record lapses after three of its reports.
+constexpr std::int64_t before_ms = 5'000;
+constexpr std::int64_t after_ms = 5'000;
+
+bool is_one_of(std::string_view event, std::initializer_list<std::string_view> events)
+{
+    return std::find(events.begin(), events.end(), event) != events.end();
+}
+
+bool is_of_upstream(log_record const& it)
+{
+    return is_one_of(it.event, {"upstream_changed", "upstream_removed"});
+}
+
+bool is_of_entry(log_record const& it)
+{
+    return is_one_of(it.event,
+                     {"started", "stopping", "stopped", "store_lost", "store_regained",
+                      "store_listed", "configuration_read", "evacuation", "lines_left_out",
+                      "settings_reloaded", "settings_refused", "control_event_dropped"});
+}
+
+std::string cause_of_refusal(log_record const& it)
+{
+    auto const attempts = it.at("attempts");
+    if (it.at("error") == "overloaded" && attempts == "0")
+    {
+        return "refused, not run: the service had " + it.at("service_load") +
+               " requests per slot, and the best upstream was expected to answer after " +
+               it.at("expected_ms") + " ms";
+    }
+    if (it.at("error") == "overloaded")
+    {
+        return "refused, not run: " + attempts + " upstreams refused it or could not be reached";
+    }
+    if (it.at("error") == "not_ready")
+    {
+        return "refused, not run: the entry had no configuration yet";
+    }
+    if (it.at("error") == "draining")
+    {
+        return "refused, not run: the entry was stopping";
+    }
+    if (it.at("error") == "no_upstream")
+    {
+        return "refused, not run: no upstream of the service could take work; all were draining, "
+               "evacuated, suspended, cold or full";
+    }
+    return {};
+}
+
+std::string cause_of_failure(log_record const& it)
+{
+    if (auto made = cause_of_refusal(it); !made.empty())
+    {
+        return made;
+    }
+    if (it.at("error") == "unknown_service")
+    {
+        return "no route of configuration " + it.at("configuration") + " takes it";
+    }
+    if (it.at("error") == "upstream_timeout" || it.at("error") == "upstream_failed")
+    {
+        return "may have run: answered " + it.at("status") + " after " + it.at("attempts") +
+               " attempts, the last of which ended without a whole answer";
+    }
+    return "answered " + it.at("status") + " (" + it.at("error") + ")";
+}
+
+std::string cause_of_attempt(log_record const& it, std::vector<log_record> const& context)
+{
+    auto made = "attempt " + it.at("attempt") + " at " + it.at("upstream") + ", rank " +
+                it.at("rank") + ": " + it.at("result") + " after " + it.at("took_ms") + " ms, " +
+                it.at("expected_ms") + " ms expected";
+    auto const gone = std::find_if(context.begin(), context.end(),
+                                   [&](log_record const& one)
+                                   {
+                                       return one.event == "upstream_removed" &&
+                                              one.at("upstream") == it.at("upstream") &&
+                                              one.time_ms >= it.time_ms;
+                                   });
+    if (gone != context.end())
+    {
+        made += "; its record went " + std::to_string(gone->time_ms - it.time_ms) +
+                " ms later, so the process has probably died";
+    }
+    return made;
+}
+
+/// Returns the last word of what a collector of logs has put before a line, or `otherwise`.
+std::string source_of(std::string const& prefix, std::string const& otherwise)
+{
+    std::istringstream words(prefix);
+    std::string last = otherwise;
+    while (words >> last)
+    {
+    }
+    return last;
+}
+
+void sort_by_time(std::vector<log_record>& all)
+{
+    std::stable_sort(all.begin(), all.end(),
+                     [](log_record const& a, log_record const& b)
+                     { return a.time_ms < b.time_ms; });
+}
+
+std::string line_of(log_record const& it, std::int64_t origin_ms)
+{
+    std::ostringstream out;
+    out << (it.time_ms < origin_ms ? "" : "+") << it.time_ms - origin_ms << " ms  " << it.source
+        << "  " << it.event;
+    for (auto const& field : it.fields)
+    {
+        out << "  " << field.first << '=' << field.second;
+    }
+    return out.str();
+}
+
+} // namespace
+
+std::string const& log_record::at(std::string const& field) const
+{
+    static std::string const none;
+    auto const it = fields.find(field);
+    return it == fields.end() ? none : it->second;
+}
+
+std::vector<log_record> read_log(std::istream& in, std::string const& source)
+{
+    std::vector<log_record> made;
+    std::string line;
+    while (std::getline(in, line))
+    {
+        auto const begin = line.find('{');
+        auto const read = begin == std::string::npos
+                              ? json()
+                              : json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin),
+                                            line.end(), nullptr, false);
+        if (!read.is_object() || !read.contains("event") || !read.contains("time_ms"))
+        {
+            continue;
+        }
+        log_record it;
+        it.source = source_of(line.substr(0, begin), source);
+        for (auto const& [name, value] : read.items())
+        {
+            it.fields[name] = value.is_string() ? value.get<std::string>() : value.dump();
+        }
+        it.time_ms = read["time_ms"].is_number() ? read["time_ms"].get<std::int64_t>() : 0;
+        it.event = it.at("event");
+        for (auto const* const known : {"time_ms", "event", "level"})
+        {
+            it.fields.erase(known);
+        }
+        made.push_back(std::move(it));
+    }
+    return made;
+}
+
+request_history explain_request(std::vector<log_record> const& logs, std::string const& id)
+{
+    request_history made;
+    std::set<std::string> sources;
+    std::set<std::string> upstreams;
+    for (auto const& it : logs)
+    {
+        if (it.at("request") == id)
+        {
+            made.own.push_back(it);
+            sources.insert(it.source);
+            upstreams.insert(it.at("upstream"));
+        }
+    }
+    sort_by_time(made.own);
+    if (made.own.empty())
+    {
+        return made;
+    }
+    auto const begin = made.own.front().time_ms - before_ms;
+    auto const end = made.own.back().time_ms + after_ms;
+    for (auto const& it : logs)
+    {
+        auto const bears = (is_of_entry(it) && sources.count(it.source) != 0) ||
+                           (is_of_upstream(it) && upstreams.count(it.at("upstream")) != 0);
+        if (bears && it.time_ms >= begin && it.time_ms <= end)
+        {
+            made.context.push_back(it);
+        }
+    }
+    sort_by_time(made.context);
+    for (auto const& it : made.own)
+    {
+        made.causes.push_back(it.event == "request_failed" ? cause_of_failure(it)
+                                                           : cause_of_attempt(it, made.context));
+    }
+    return made;
+}
+
+std::string to_text(request_history const& it, std::string const& id)
+{
+    if (it.own.empty())
+    {
+        return "No line names " + id +
+               ". It went well without being sampled, did not reach these entries, or its line was "
+               "left out: look for lines_left_out.\n";
+    }
+    std::ostringstream out;
+    auto const origin = it.own.front().time_ms;
+    for (auto const& one : it.own)
+    {
+        out << line_of(one, origin) << '\n';
+    }
+    out << "\nchanges of state around it:\n";
+    for (auto const& one : it.context)
+    {
+        out << "  " << line_of(one, origin) << '\n';
+    }
+    out << "\nwhat happened:\n";
+    for (auto const& one : it.causes)
+    {
+        out << "  " << one << '\n';
+    }
+    return out.str();
+}
+
+} // namespace fuchsiaproxy::telemetry
--- /dev/null
+++ b/src/telemetry/request_history_test.cpp
@@ -0,0 +1,66 @@
+#include <sstream>
+
+#include "fuchsiaproxy/telemetry/request_history.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaproxy;
+using namespace fuchsiaproxy::telemetry;
+
+namespace
+{
+
+constexpr char const* log_text = R"(not a line of the log
+  31.5 edge-1 {"time_ms":1000,"level":"info","event":"store_lost","why":"read: timed out"}
+{"time_ms":1500,"level":"info","event":"attempt_failed","request":"a1","attempt":"7","upstream":"u3","rank":"0","expected_ms":"150","took_ms":"12","result":"broken"}
+{"time_ms":1501,"level":"info","event":"request_failed","request":"a1","error":"upstream_failed","status":"502","attempts":"1","configuration":"4"}
+{"time_ms":1600,"level":"info","event":"request_failed","request":"a2","error":"overloaded","status":"503","attempts":"0","service_load":"0.97","expected_ms":"915"}
+{"time_ms":2300,"level":"info","event":"upstream_removed","upstream":"u3"}
+{"time_ms":2300,"level":"info","event":"upstream_removed","upstream":"u4"}
+{"time_ms":90000,"level":"info","event":"store_regained"}
+{"time_ms":1550,"level":"info",)";
+
+request_history history_of(std::string const& id)
+{
+    std::istringstream in(log_text);
+    return explain_request(read_log(in, "edge-1"), id);
+}
+
+} // namespace
+
+TEST_GROUP(request_history){};
+
+TEST(request_history, a_broken_attempt_is_joined_with_the_end_of_its_upstream)
+{
+    auto const it = history_of("a1");
+    LONGS_EQUAL(2, it.own.size());
+    LONGS_EQUAL(2, it.causes.size());
+    STRCMP_CONTAINS("broken after 12 ms", it.causes[0].c_str());
+    STRCMP_CONTAINS("its record went 800 ms later", it.causes[0].c_str());
+    STRCMP_CONTAINS("may have run", it.causes[1].c_str());
+}
+
+// Guards against a walk through the changes of state of a whole day.
+TEST(request_history, only_changes_near_the_request_are_shown)
+{
+    auto const it = history_of("a1");
+    LONGS_EQUAL(2, it.context.size());
+    CHECK(it.context[0].event == "store_lost");
+    CHECK(it.context[1].at("upstream") == "u3");
+}
+
+TEST(request_history, a_refusal_names_the_load_that_decided)
+{
+    auto const it = history_of("a2");
+    STRCMP_CONTAINS("0.97 requests per slot", it.causes.at(0).c_str());
+    STRCMP_CONTAINS("915 ms", it.causes.at(0).c_str());
+}
+
+// Guards against lines that were cut, and against silence on an id that no log knows.
+TEST(request_history, unknown_ids_and_cut_lines_are_said_so)
+{
+    auto const it = history_of("a3");
+    CHECK(it.own.empty());
+    STRCMP_CONTAINS("No line names a3", to_text(it, "a3").c_str());
+    STRCMP_CONTAINS("what happened:", to_text(history_of("a1"), "a1").c_str());
+}
