Name all entries of a region in look-ups, and others on each entry beyond 64

Cause: found reading the code: a look-up named the first 16 entries of the region, the same ones on every entry. With 20 entries in a region four had no callers at all; with 150, the size to plan for, nine tenths.

Ruled out: another sample in each answer, since callers leave entries that are missing from a new one.

Change: up to 64 entries, as many as callers take; of more, each entry names those that rendezvous hashing by its own id puts first, always the same ones.

Before: director.every_entry_is_named_by_some_look_ups_and_an_entrys_answer_is_stable failed (200 entries, 16 named).

--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -92,8 +92,8 @@
     /// When callers of refused requests are told to come back.
     base::duration retry_after = std::chrono::milliseconds(250);
 
-    /// Entries named in the answer to a look-up.
-    std::size_t look_up_entries = 16;
+    /// Entries named in the answer to a look-up; callers take no more.
+    std::size_t look_up_entries = 64;
 };
 
 } // namespace fuchsiaproxy::steering
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -558,3 +558,34 @@
     CHECK(action<overtaken>() == nullptr);
     CHECK(it.load(now).revision == control_revision(10));
 }
+
+// Guards against entries that no caller is told of: with more entries than a look-up may name, all
+// look-ups named the same ones.
+TEST(director, every_entry_is_named_by_some_look_ups_and_an_entrys_answer_is_stable)
+{
+    constexpr int entries = 200;
+    entries_listed listed;
+    for (int n = 0; n < entries; ++n)
+    {
+        auto const name = "e" + std::to_string(n);
+        listed.all.push_back({base::instance_id(name),
+                              base::availability_zone_id("north-a"),
+                              base::region_id("north"),
+                              name,
+                              {}});
+    }
+    auto const home = base::availability_zone_id("north-a");
+    std::set<std::string> named;
+    for (int n = 0; n < entries; ++n)
+    {
+        auto self = identity();
+        self.id = base::instance_id("e" + std::to_string(n));
+        director asked(settings, self, 1);
+        asked.on_control(listed, now, out);
+        auto const answer = asked.look_up(home);
+        LONGS_EQUAL(settings.look_up_entries, answer.size());
+        CHECK(answer == asked.look_up(home));
+        named.insert(answer.begin(), answer.end());
+    }
+    LONGS_EQUAL(entries, named.size());
+}
--- a/src/steering/entry_view.cpp
+++ b/src/steering/entry_view.cpp
@@ -141,16 +141,32 @@
                                                    std::size_t most) const
 {
     auto const home = self_.zones.find(zone);
-    std::vector<std::string> near;
-    std::vector<std::string> far;
+    std::vector<known_entry const*> near;
+    std::vector<known_entry const*> far;
     for (auto const& it : all_)
     {
         auto const is_near = home != self_.zones.end() && it.second.record.region == home->second;
-        (is_near ? near : far).push_back(it.second.record.address);
+        (is_near ? near : far).push_back(&it.second);
     }
     auto& chosen = near.empty() ? far : near;
-    chosen.resize(std::min(chosen.size(), most));
-    return chosen;
+    if (chosen.size() > most)
+    {
+        // Each entry names others, but always the same ones, since callers leave entries that are
+        // missing from a new answer.
+        auto const key = hash_of(self_.id.value());
+        std::nth_element(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(most),
+                         chosen.end(),
+                         [key](known_entry const* a, known_entry const* b)
+                         { return weight_of(key, a->hash) > weight_of(key, b->hash); });
+        chosen.resize(most);
+    }
+    std::vector<std::string> made;
+    made.reserve(chosen.size());
+    for (auto const* const it : chosen)
+    {
+        made.push_back(it->record.address);
+    }
+    return made;
 }
 
 } // namespace fuchsiaproxy::steering
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -51,7 +51,7 @@
     std::vector<model::endpoint> peers(bool of_own_region) const;
 
     /// Returns up to `most` addresses for callers in `zone`: those of its region, or of all regions
-    /// when it has none.
+    /// when it has none. Of more than that, each entry names others.
     std::vector<std::string> addresses_for(base::availability_zone_id const& zone,
                                            std::size_t most) const;
 
