--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -32,6 +32,9 @@
     /// failed, or the end of the watch if only that has failed.
     virtual void store_regained(base::time_point away_at) = 0;
 
+    /// A watch was given up at revision `known`, because another follower had seen `overheard`.
+    virtual void watch_given_up(store_revision known, store_revision overheard) = 0;
+
     /// All changes up to a revision of the store have been told.
     virtual void caught_up(store_revision at) = 0;
 };
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -133,6 +133,7 @@
                                     }
                                     watching_ = false;
                                     ++counters_.overtaken_watches;
+                                    events_.watch_given_up(after_, due);
                                     list();
                                 });
     }
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -88,6 +88,10 @@
     int listings = 0;
     std::vector<key_value> last_listing;
     std::vector<std::string> changes;
+    void watch_given_up(store_revision, store_revision overheard) override
+    {
+        given_up_for = overheard;
+    }
     void caught_up(store_revision at) override
     {
         revision = at;
@@ -95,6 +99,7 @@
     std::vector<bool> reachability;
     base::time_point away_at{};
     store_revision revision;
+    store_revision given_up_for;
 };
 
 key_value item(std::string key, std::uint64_t revision)
@@ -234,6 +239,7 @@
     list_at(12);
     CHECK(events.revision == store_revision(12));
     LONGS_EQUAL(1, follower->counters().overtaken_watches);
+    CHECK(events.given_up_for == store_revision(12));
     silent.done(metadata::key_value_changes{{item("late", 11)}, store_revision(11)});
     CHECK(events.changes.empty());
     LONGS_EQUAL(12, store.take_watch().after.value());
--- a/src/telemetry/request_history.cpp
+++ b/src/telemetry/request_history.cpp
@@ -31,10 +31,10 @@
 
 bool is_of_entry(log_record const& it)
 {
-    return is_one_of(it.event,
-                     {"started", "stopping", "stopped", "store_lost", "store_regained",
-                      "store_listed", "configuration_read", "evacuation", "lines_left_out",
-                      "settings_reloaded", "settings_refused", "control_event_dropped"});
+    return is_one_of(it.event, {"started", "stopping", "stopped", "store_lost", "store_regained",
+                                "store_listed", "watch_given_up", "configuration_read",
+                                "evacuation", "lines_left_out", "settings_reloaded",
+                                "settings_refused", "control_event_dropped"});
 }
 
 std::string cause_of_refusal(log_record const& it)
--- a/tests/soak/soaking/world.py
+++ b/tests/soak/soaking/world.py
@@ -14,7 +14,6 @@
 from .upstreams import Upstream
 
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
-ENTRIES_PER_ZONE = 1
 UPSTREAMS_PER_ZONE = {"browse": 2, "orders": 2}
 CALLERS_PER_ZONE = 8
 HOST = "soak.example"
@@ -122,7 +121,7 @@
 class World:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, seed, build, folder, network):
+    def __init__(self, seed, build, folder, network, entries_per_zone):
         self.random = random.Random(seed)
         self.program = os.path.join(build, "platform", "fuchsia-edge")
         self.folder = folder
@@ -142,7 +141,7 @@
         self.routes = [Route("r-browse", "/browse/", True, "browse", 2.0),
                        Route("r-orders", "/orders/", False, "orders", 2.5)]
         self.entries = [Entry(self, zone, number) for number, zone in
-                        enumerate(zone for zone in ZONES for _ in range(ENTRIES_PER_ZONE))]
+                        enumerate(zone for zone in ZONES for _ in range(entries_per_zone))]
         self.by_address = {"%s:%d" % it.callers: it for it in self.entries}
         self.upstreams = []
         self.tasks = []
