--- a/src/gossip/load_codec.cpp
+++ b/src/gossip/load_codec.cpp
@@ -35,9 +35,8 @@
         figures.push_back(one.in_flight);
         figures.push_back(one.pace_percent);
     }
-    json const message =
-        json::array({format_version, it.from.value(), it.sequence, std::move(figures),
-                     it.revision.value()});
+    json const message = json::array(
+        {format_version, it.from.value(), it.sequence, std::move(figures), it.revision.value()});
     std::string out;
     json::to_cbor(message, out);
     return out;
