Keep loads of other entries until the next message in large regions

Cause: with 98 entries in a region, load messages go to other regions every 1.8 s, but expired after 1.5 s, so upstreams that other regions use appeared idle for a part of each interval. Change: the decision core states the interval, and the age above which loads are discarded follows from the interval of the largest region: two missed messages are tolerated. The new test fails with the fixed age: "CHECK(started().upstream != busy) failed" (director_test.cpp:543).

--- a/src/gateway/entry_process.cpp
+++ b/src/gateway/entry_process.cpp
@@ -25,10 +25,6 @@
 // Capacity of the traffic thread's queue of control-plane events. A whole listing is one event.
 constexpr std::size_t control_queue_capacity = 4096;
 
-// Entries of other regions get one load message in this many, as most requests stay in their
-// region.
-constexpr std::uint64_t cross_region_load_interval = 2;
-
 std::uint64_t draw_seed()
 {
     std::random_device device;
@@ -46,7 +42,7 @@
           gateway_(thread_.io(), timers_, settings.traffic, settings.self, seed, log),
           exchange_(thread_.io(), settings.peers,
                     [this](steering::peer_load const& it) { gateway_.on_peer_load(it); }),
-          peer_period_(settings.peer_period), full_rate_peers_(settings.full_rate_peers)
+          cross_region_load_interval_(settings.traffic.director.cross_region_load_interval)
     {
         add_page(settings.look_ups, settings.look_up_page);
         add_page(settings.readiness, settings.readiness_page);
@@ -77,7 +73,7 @@
         {
             return exchanging.error();
         }
-        schedule_load(0);
+        schedule_load();
         return boost::outcome_v2::success();
     }
 
@@ -106,24 +102,21 @@
     }
 
 private:
-    void schedule_load(std::size_t same_region_peers)
+    void schedule_load()
     {
-        auto const factor = std::max<std::size_t>(1, same_region_peers / full_rate_peers_);
-        auto const period = peer_period_ * static_cast<base::duration::rep>(factor);
-        load_timer_ = timers_.at(timers_.now() + period, [this](base::time_point) { send_load(); });
+        load_timer_ = timers_.at(timers_.now() + gateway_.decisions().load_interval(),
+                                 [this](base::time_point) { send_load(); });
     }
 
     void send_load()
     {
-        auto const same_region = gateway_.decisions().peers(true);
-        auto const other_regions = gateway_.decisions().peers(false);
         auto const load = gateway_.load();
-        exchange_.send(load, same_region);
-        if (load.sequence % cross_region_load_interval == 0)
+        exchange_.send(load, gateway_.decisions().peers(true));
+        if (load.sequence % cross_region_load_interval_ == 0)
         {
-            exchange_.send(load, other_regions);
+            exchange_.send(load, gateway_.decisions().peers(false));
         }
-        schedule_load(same_region.size());
+        schedule_load();
     }
 
     void add_page(std::optional<model::endpoint> const& at, gateway_page_function const& answer)
@@ -141,8 +134,7 @@
     http::buffer_pool page_buffers_;
     gateway gateway_;
     gossip::load_exchange exchange_;
-    base::duration peer_period_;
-    std::size_t full_rate_peers_;
+    std::uint64_t cross_region_load_interval_;
     std::unique_ptr<base::timer_subscription> load_timer_;
     std::vector<std::unique_ptr<page_server>> pages_;
 };
--- a/src/include/fuchsiaproxy/gateway/entry_process.hpp
+++ b/src/include/fuchsiaproxy/gateway/entry_process.hpp
@@ -61,11 +61,6 @@
     std::optional<model::endpoint> metrics;
     /// Address on which load messages of other entries are received as datagrams.
     model::endpoint peers;
-    /// Period at which load messages are sent to the entries of this region. It is multiplied by
-    /// the number of these entries divided by `full_rate_peers`, rounded down, if that is more than
-    /// 1; this bounds the cost of sending. Entries of other regions get every second message.
-    base::duration peer_period = std::chrono::milliseconds(100);
-    std::size_t full_rate_peers = 10;
     gateway_page_function look_up_page;
     gateway_page_function readiness_page;
     std::function<std::unique_ptr<control_plane>(control_context)> make_control;
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -201,6 +201,9 @@
     /// Returns the next load message of this entry.
     peer_load load(base::time_point now);
 
+    /// Returns the interval at which load messages are to be sent to the entries of this region.
+    base::duration load_interval() const;
+
     /// Returns the peer addresses of the other entries, those of this entry's region or the rest.
     std::vector<model::endpoint> peers(bool of_own_region) const;
 
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -60,8 +60,19 @@
     double work_gain = 0.05;
     /// Weight of a new outcome in the moving average of an upstream's failures.
     double failure_gain = 0.2;
-    /// Age above which the load message of another entry is discarded.
+    /// Interval at which load messages are sent to the entries of this region. It is multiplied by
+    /// the number of these entries divided by `full_rate_peers`, rounded down, if that is more than
+    /// 1; this bounds the cost of sending.
+    base::duration load_interval = std::chrono::milliseconds(100);
+    std::size_t full_rate_peers = 10;
+    /// Entries of other regions get one load message in this many, as most requests stay in their
+    /// region.
+    std::uint64_t cross_region_load_interval = 2;
+    /// Minimum age above which the load message of another entry is discarded. In large regions the
+    /// messages are further apart, and the age is that of two missed messages plus
+    /// `load_delivery_margin`.
     base::duration peer_load_max_age = std::chrono::milliseconds(1500);
+    base::duration load_delivery_margin = std::chrono::milliseconds(300);
     /// Decay time of load reports: at this age, the weight of a report has fallen to 1/e.
     base::duration report_decay_time = std::chrono::milliseconds(400);
     /// Maximum random increase of a cost, as a fraction of it. Without it, entries with the same
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -16,8 +16,7 @@
     : settings(it), self(std::move(identity)),
       removal_grace(settings.expiry_grace_period, settings.expiry_grace_limit),
       upstreams(self.zones, removal_grace), entries(self, removal_grace),
-      peers(settings.peer_load_max_age), round_trips(settings, self),
-      upstream_selector(settings, entries, round_trips, seed)
+      round_trips(settings, self), upstream_selector(settings, entries, round_trips, seed)
 {
 }
 
@@ -438,7 +437,7 @@
 {
     state_->upstreams.tick(now);
     state_->entries.tick(now);
-    state_->peers.tick(now);
+    state_->peers.tick(now, state_->load_max_age());
     state_->report_retired(out);
 }
 
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -29,6 +29,25 @@
     }
 }
 
+base::duration director::state::load_interval(std::size_t entries_in_region) const
+{
+    auto const peers = std::max<std::size_t>(1, entries_in_region) - 1;
+    auto const factor = std::max<std::size_t>(1, peers / settings.full_rate_peers);
+    return settings.load_interval * static_cast<base::duration::rep>(factor);
+}
+
+base::duration director::state::load_max_age() const
+{
+    std::size_t largest_region = 0;
+    for (auto const& it : entries.entries_per_region())
+    {
+        largest_region = std::max(largest_region, it.second);
+    }
+    auto const cross_region = load_interval(largest_region) *
+                              static_cast<base::duration::rep>(settings.cross_region_load_interval);
+    return std::max(settings.peer_load_max_age, 2 * cross_region + settings.load_delivery_margin);
+}
+
 void director::state::apply_peer_loads(base::service_id const& service) const
 {
     // If fewer than half of the entries have reported, the upstreams' own load reports are the
@@ -78,7 +97,7 @@
 peer_load director::load(base::time_point now)
 {
     auto& my = *state_;
-    my.peers.tick(now);
+    my.peers.tick(now, my.load_max_age());
     peer_load made;
     made.from = my.self.id;
     made.sequence = ++my.load_sequence;
@@ -95,6 +114,11 @@
     return made;
 }
 
+base::duration director::load_interval() const
+{
+    return state_->load_interval(state_->entries.entries_per_region()[state_->self.region]);
+}
+
 std::vector<model::endpoint> director::peers(bool of_own_region) const
 {
     return state_->entries.peers(of_own_region);
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -92,6 +92,10 @@
     void replace_configuration(std::shared_ptr<configuration const> const& offered,
                                director_actions& out);
     void report_retired(director_actions& out);
+    /// Returns the interval of the load messages that are sent inside a region.
+    base::duration load_interval(std::size_t entries_in_region) const;
+    /// Returns the age above which load messages of other entries are discarded.
+    base::duration load_max_age() const;
     /// Copies the load reported by other entries to the upstreams of a service.
     void apply_peer_loads(base::service_id const& service) const;
 
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -516,6 +516,37 @@
     CHECK(started().upstream == busy);
 }
 
+// Guards against loads of other regions that expire before the next message in regions with more
+// than 75 entries: upstreams appeared idle for a part of each interval.
+TEST(director, loads_of_large_regions_are_kept_until_the_next_message)
+{
+    constexpr int entries = 98;
+    configure();
+    list_upstreams({"u1", "u2"});
+    list_entries(entries);
+    complete_request("/read/a", "a");
+    request("/read/a", "a");
+    auto const busy = started().upstream;
+    auto reported = it.load(now);
+    reported.upstreams.front().in_flight = 12;
+    for (int n = 2; n <= entries; ++n)
+    {
+        reported.from = base::instance_id("e" + std::to_string(n));
+        it.on_peer_load(reported, now, out);
+    }
+    auto const interval =
+        it.load_interval() * static_cast<base::duration::rep>(settings.cross_region_load_interval);
+    CHECK(interval > settings.peer_load_max_age);
+    now += 2 * interval; // One message is lost.
+    it.load(now);
+    request("/read/a", "a");
+    CHECK(started().upstream != busy);
+    now += interval;
+    it.load(now);
+    request("/read/a", "a");
+    CHECK(started().upstream == busy);
+}
+
 // Guards against filling the queues of a busy service with requests that would be answered too
 // late.
 TEST(director, a_busy_service_is_sent_only_requests_that_it_can_serve_on_time)
--- a/src/steering/entry_view.cpp
+++ b/src/steering/entry_view.cpp
@@ -119,6 +119,17 @@
     return made;
 }
 
+std::map<base::region_id, std::size_t> entry_view::entries_per_region() const
+{
+    std::map<base::region_id, std::size_t> made;
+    for (auto const& it : all_)
+    {
+        ++made[it.second.record.region];
+    }
+    made[self_.region] += all_.count(self_.id) == 0 ? 1 : 0;
+    return made;
+}
+
 std::vector<model::endpoint> entry_view::peers(bool of_own_region) const
 {
     std::vector<model::endpoint> made;
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -49,6 +49,9 @@
     /// Returns the number of zones with live entries, by region.
     std::map<base::region_id, double> zones_per_region() const;
 
+    /// Returns the number of live entries by region, this one included.
+    std::map<base::region_id, std::size_t> entries_per_region() const;
+
     /// Returns the peer addresses of the other entries, those of the own region or the rest.
     std::vector<model::endpoint> peers(bool of_own_region) const;
 
--- a/src/steering/parts_test.cpp
+++ b/src/steering/parts_test.cpp
@@ -108,7 +108,7 @@
 
 TEST_GROUP(peer_loads)
 {
-    peer_loads loads{1s};
+    peer_loads loads;
     base::time_point now{1h};
 };
 
@@ -129,7 +129,7 @@
 {
     loads.apply({base::instance_id("e1"), 1, {{7, 3, 0}}}, now);
     loads.apply({base::instance_id("e2"), 1, {{7, 2, 0}}}, now + 900ms);
-    loads.tick(now + 1500ms);
+    loads.tick(now + 1500ms, 1s);
     LONGS_EQUAL(2, loads.in_flight_at(7));
     loads.remove_entry(base::instance_id("e2"));
     LONGS_EQUAL(0, loads.in_flight_at(7));
--- a/src/steering/peer_loads.cpp
+++ b/src/steering/peer_loads.cpp
@@ -28,11 +28,11 @@
     }
 }
 
-void peer_loads::tick(base::time_point now)
+void peer_loads::tick(base::time_point now, base::duration max_age)
 {
     for (auto it = entries_.begin(); it != entries_.end();)
     {
-        if (now - it->second.received_at <= max_age_)
+        if (now - it->second.received_at <= max_age)
         {
             ++it;
             continue;
--- a/src/steering/peer_loads.hpp
+++ b/src/steering/peer_loads.hpp
@@ -16,17 +16,14 @@
 class peer_loads
 {
 public:
-    /// Messages older than `max_age` are discarded.
-    explicit peer_loads(base::duration max_age) : max_age_(max_age) {}
-
     /// Applies a message. Messages that arrive after a later one of the same entry are ignored.
     void apply(peer_load const& it, base::time_point now);
 
     /// Removes an entry and its load.
     void remove_entry(base::instance_id const& entry);
 
-    /// Removes the load of entries whose last message is too old.
-    void tick(base::time_point now);
+    /// Removes the load of entries whose last message is older than `max_age`.
+    void tick(base::time_point now, base::duration max_age);
 
     /// Returns the number of open attempts of other entries at an upstream.
     std::uint32_t in_flight_at(upstream_tag upstream) const;
@@ -43,7 +40,6 @@
 
     void subtract(entry_load const& it);
 
-    base::duration max_age_;
     std::unordered_map<base::instance_id, entry_load> entries_;
     std::unordered_map<upstream_tag, std::uint32_t> totals_;
 };
