--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -16,8 +16,7 @@
     : settings(it), self(std::move(identity)),
       removal_grace(settings.expiry_grace_period, settings.expiry_grace_limit),
       upstreams(self.zones, removal_grace), entries(self, removal_grace),
-      peers(settings.peer_load_max_age), round_trips(settings, self),
-      upstream_selector(settings, entries, round_trips, seed)
+      round_trips(settings, self), upstream_selector(settings, entries, round_trips, seed)
 {
 }
 
@@ -92,6 +91,8 @@
     selection_query query;
     query.matched_route = request.matched_route;
     query.declared = &declared;
+    query.service_id = &request.service;
+    query.upstream_generation = upstreams.generation();
     query.work = request.work;
     query.object = request.object;
     query.tried = &request.tried;
@@ -226,7 +227,7 @@
     }
     if (end.wrong_upstream)
     {
-        upstream.removed = true;
+        upstreams.mark_replaced(upstream);
     }
     auto const failed = end.result == attempt_result::broken ||
                         end.result == attempt_result::timed_out ||
@@ -438,7 +439,7 @@
 {
     state_->upstreams.tick(now);
     state_->entries.tick(now);
-    state_->peers.tick(now);
+    state_->peers.tick(now, state_->load_max_age());
     state_->report_retired(out);
 }
 
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -489,6 +489,26 @@
     }
 }
 
+// Guards against an order of upstreams that is not renewed when an upstream leaves or returns: the
+// object's requests would go to an upstream where it is cold.
+TEST(director, the_requests_for_an_object_return_with_its_upstream)
+{
+    configure();
+    list_upstreams({"u1", "u2", "u3", "u4"});
+    auto const home = complete_request("/read/a", "a");
+    auto record = upstream(home);
+    record.draining = true;
+    send_event(upstream_changed{record});
+    auto const second = complete_request("/read/a", "a");
+    CHECK(second != home);
+    CHECK(complete_request("/read/a", "a") == second);
+    record.draining = false;
+    send_event(upstream_changed{record});
+    CHECK(complete_request("/read/a", "a") == home);
+    send_event(upstream_removed{base::upstream_id(home)});
+    CHECK(complete_request("/read/a", "a") == second);
+}
+
 // Guards against a selection that ignores the requests of other entries.
 TEST(director, the_load_of_other_entries_affects_the_selection)
 {
@@ -516,6 +536,37 @@
     CHECK(started().upstream == busy);
 }
 
+// Guards against loads of other regions that expire before the next message in regions with more
+// than 75 entries: upstreams appeared idle for a part of each interval.
+TEST(director, loads_of_large_regions_are_kept_until_the_next_message)
+{
+    constexpr int entries = 98;
+    configure();
+    list_upstreams({"u1", "u2"});
+    list_entries(entries);
+    complete_request("/read/a", "a");
+    request("/read/a", "a");
+    auto const busy = started().upstream;
+    auto reported = it.load(now);
+    reported.upstreams.front().in_flight = 12;
+    for (int n = 2; n <= entries; ++n)
+    {
+        reported.from = base::instance_id("e" + std::to_string(n));
+        it.on_peer_load(reported, now, out);
+    }
+    auto const interval =
+        it.load_interval() * static_cast<base::duration::rep>(settings.cross_region_load_interval);
+    CHECK(interval > settings.peer_load_max_age);
+    now += 2 * interval; // One message is lost.
+    it.load(now);
+    request("/read/a", "a");
+    CHECK(started().upstream != busy);
+    now += interval;
+    it.load(now);
+    request("/read/a", "a");
+    CHECK(started().upstream == busy);
+}
+
 // Guards against filling the queues of a busy service with requests that would be answered too
 // late.
 TEST(director, a_busy_service_is_sent_only_requests_that_it_can_serve_on_time)
--- a/src/steering/entry_view.cpp
+++ b/src/steering/entry_view.cpp
@@ -37,6 +37,7 @@
 
 void entry_view::upsert(entry_record const& it)
 {
+    ++generation_;
     all_[it.id] = known_entry{it, hash_of(it.id.value()), std::nullopt};
 }
 
@@ -50,6 +51,7 @@
     auto const due = removal_grace_.kept_until(now);
     if (!due)
     {
+        ++generation_;
         all_.erase(found);
         return;
     }
@@ -69,7 +71,9 @@
 {
     for (auto it = all_.begin(); it != all_.end();)
     {
-        it = removal_grace_.is_due(it->second.removal_due, now) ? all_.erase(it) : std::next(it);
+        auto const is_due = removal_grace_.is_due(it->second.removal_due, now);
+        generation_ += is_due ? 1 : 0;
+        it = is_due ? all_.erase(it) : std::next(it);
     }
 }
 
@@ -119,6 +123,17 @@
     return made;
 }
 
+std::map<base::region_id, std::size_t> entry_view::entries_per_region() const
+{
+    std::map<base::region_id, std::size_t> made;
+    for (auto const& it : all_)
+    {
+        ++made[it.second.record.region];
+    }
+    made[self_.region] += all_.count(self_.id) == 0 ? 1 : 0;
+    return made;
+}
+
 std::vector<model::endpoint> entry_view::peers(bool of_own_region) const
 {
     std::vector<model::endpoint> made;
--- a/src/steering/entry_view.hpp
+++ b/src/steering/entry_view.hpp
@@ -39,6 +39,12 @@
         return self_.region;
     }
 
+    /// Returns a number that changes with the list of entries and their records.
+    std::uint64_t generation() const
+    {
+        return generation_;
+    }
+
     /// Returns the number of live entries, this one included.
     std::size_t size() const;
 
@@ -49,6 +55,9 @@
     /// Returns the number of zones with live entries, by region.
     std::map<base::region_id, double> zones_per_region() const;
 
+    /// Returns the number of live entries by region, this one included.
+    std::map<base::region_id, std::size_t> entries_per_region() const;
+
     /// Returns the peer addresses of the other entries, those of the own region or the rest.
     std::vector<model::endpoint> peers(bool of_own_region) const;
 
@@ -69,6 +78,7 @@
     director_identity const& self_;
     removal_grace_period const& removal_grace_;
     std::map<base::instance_id, known_entry> all_;
+    std::uint64_t generation_ = 0;
 };
 
 } // namespace fuchsiaproxy::steering
--- a/src/steering/parts_test.cpp
+++ b/src/steering/parts_test.cpp
@@ -66,7 +66,8 @@
     std::map<int, std::size_t> before;
     auto const first_of = [&](int object)
     {
-        auto const& ranks = order.rank(all, hash_of(std::to_string(object)), shares);
+        auto const& ranks =
+            order.rank(all, hash_of(std::to_string(object)), order_weights(all, shares));
         for (std::size_t n = 0; n < ranks.size(); ++n)
         {
             if (ranks[n] == 0)
@@ -97,7 +98,8 @@
     constexpr int objects = 2000;
     for (int object = 0; object < objects; ++object)
     {
-        auto const& ranks = order.rank(all, hash_of(std::to_string(object)), shares);
+        auto const& ranks =
+            order.rank(all, hash_of(std::to_string(object)), order_weights(all, shares));
         for (std::size_t n = 0; n < 5; ++n)
         {
             at_north += ranks[n] == 0 ? 1 : 0;
@@ -108,7 +110,7 @@
 
 TEST_GROUP(peer_loads)
 {
-    peer_loads loads{1s};
+    peer_loads loads;
     base::time_point now{1h};
 };
 
@@ -129,7 +131,7 @@
 {
     loads.apply({base::instance_id("e1"), 1, {{7, 3, 0}}}, now);
     loads.apply({base::instance_id("e2"), 1, {{7, 2, 0}}}, now + 900ms);
-    loads.tick(now + 1500ms);
+    loads.tick(now + 1500ms, 1s);
     LONGS_EQUAL(2, loads.in_flight_at(7));
     loads.remove_entry(base::instance_id("e2"));
     LONGS_EQUAL(0, loads.in_flight_at(7));
