Don't overwrite a part of a body that waits to be read

A connection that waits for more of a body reads input as soon as it arrives. If the body is read meanwhile on behalf of an attempt, which happens when an entry wakes from a freeze, the wait went on although a decoded part was still uncopied, and the next input overwrote it. Ruled out: the relay's buffer (blocks keep their place when earlier ones are released), reuse of the upstream's connection (the request was the only one on it). Change: the wait ends when a part of the body is there, and when the body ends. A read without progress no longer extends the limit on a body that makes none. Test first: unread_parts_of_a_body_are_not_overwritten_by_later_input failed at the comparison of the body.

--- a/src/callers/connection.hpp
+++ b/src/callers/connection.hpp
@@ -114,6 +114,7 @@
     void check_for_disconnect();
     void on_body_input();
     body_read body_failure(base::error_kind kind);
+    void stop_awaiting_body();
     std::size_t copy_body(char* to, std::size_t size);
     bool decode_body_part();
     void send_continue();
--- a/src/callers/connection_body.cpp
+++ b/src/callers/connection_body.cpp
@@ -31,11 +31,20 @@
         wait_readable();
         return;
     }
-    awaits_body_ = false;
-    limit_at_ = base::time_point::max();
+    stop_awaiting_body();
     core_->handler.body_ready(exchange_->head().id);
 }
 
+/// Ends the wait for more of the body. While it lasts, input is read as soon as it arrives, which
+/// would overwrite a part that has been decoded but not copied.
+void connection::stop_awaiting_body()
+{
+    if (std::exchange(awaits_body_, false) && !writing_)
+    {
+        limit_at_ = base::time_point::max();
+    }
+}
+
 body_read connection::body_failure(base::error_kind kind)
 {
     if (!std::exchange(body_failed_, true))
@@ -84,6 +93,7 @@
     {
         if (!body_part_.empty())
         {
+            stop_awaiting_body();
             if (copied == size)
             {
                 return body_read{copied, body_state::open};
@@ -111,11 +121,14 @@
             return body_read{copied, body_state::open};
         }
         send_continue();
-        awaits_body_ = true;
-        limit_at_ = core_->timers.now() + core_->settings.body_idle_limit;
+        if (!std::exchange(awaits_body_, true))
+        {
+            limit_at_ = core_->timers.now() + core_->settings.body_idle_limit;
+        }
         wait_readable();
         return body_read{0, body_state::pending};
     }
+    stop_awaiting_body();
     if (body_failed_)
     {
         return body_read{0, body_state::failed, body_error_};
--- a/src/callers/server_test.cpp
+++ b/src/callers/server_test.cpp
@@ -332,6 +332,38 @@
     CHECK(fixture.until([&]() { return fixture.handler.body == "abc"; }));
 }
 
+// Guards against input that overwrites a part of the body that has not been read yet. An upstream
+// got a changed body when the body was read on behalf of an attempt while the connection still
+// waited for more of it.
+TEST(exchanges, unread_parts_of_a_body_are_not_overwritten_by_later_input)
+{
+    std::string const first(6000, 'a');
+    std::string const rest(14000, 'b');
+    fixture.handler.read_bodies = false;
+    raw_peer caller(fixture.io, fixture.port);
+    caller.send(request_text("Content-Length: 20000\r\n", "POST /s/a"));
+    auto& it = fixture.request(1);
+    std::string bytes(1000, ' ');
+    CHECK(it.read_body(bytes.data(), bytes.size()).state == body_state::pending);
+    caller.send(first);
+    LONGS_EQUAL(bytes.size(), it.read_body(bytes.data(), bytes.size()).size);
+    fixture.handler.body = bytes;
+    caller.send(rest);
+    raw_peer other(fixture.io, fixture.port);
+    other.send(request_text(""));
+    fixture.request(2); // The input of the first connection has been seen as well.
+    fixture.io.poll();
+    std::swap(fixture.handler.exchanges[0],
+              fixture.handler.exchanges[1]); // `body_ready` reads the last one.
+    CHECK(fixture.until(
+        [&]()
+        {
+            fixture.handler.read(it);
+            return fixture.handler.last_read.state == body_state::end;
+        }));
+    CHECK(fixture.handler.body == first + rest);
+}
+
 // Guards against work for callers that have disconnected, and against reports of a disconnect for
 // callers that have not.
 TEST(exchanges, disconnected_callers_are_reported_once)
