Tell a routing explanation from that of a request

Cause: `fuchsiactl explain SERVICE METHOD PATH`, given as several arguments, was taken for `explain ID LOG`.

--- a/src/fuchsiactl/command_line.cpp
+++ b/src/fuchsiactl/command_line.cpp
@@ -10,6 +10,8 @@
 
 #include <cxxopts.hpp>
 
+#include "fuchsiaproxy/operators/language.hpp"
+
 namespace fuchsiaproxy::fuchsiactl
 {
 namespace
@@ -123,7 +125,7 @@
         if (parsed.count("words") != 0)
         {
             auto const& words = parsed["words"].as<std::vector<std::string>>();
-            if (words.front() != "explain")
+            if (words.front() != "explain" || operators::is_routing_explanation(words))
             {
                 out.commands = join_arguments(words);
             }
--- a/src/operators/language.cpp
+++ b/src/operators/language.cpp
@@ -383,6 +383,15 @@
 
 } // namespace
 
+bool is_routing_explanation(std::vector<std::string> const& words)
+{
+    constexpr std::size_t method = 2;
+    constexpr std::size_t path = 3;
+    return words.size() > path && words.front() == "explain" &&
+           words[method].find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ") == std::string::npos &&
+           words[path].compare(0, 1, "/") == 0;
+}
+
 base::result<std::vector<command>> parse_commands(std::string_view text)
 {
     auto tokens = tokenize(text);
--- a/src/operators/language_test.cpp
+++ b/src/operators/language_test.cpp
@@ -7,6 +7,17 @@
 
 TEST_GROUP(language){};
 
+// Guards against a command line that is taken for the explanation of a request from logs.
+TEST(language, a_routing_explanation_is_told_from_that_of_a_request)
+{
+    CHECK(is_routing_explanation({"explain", "orders", "GET", "/orders/a", "from", "tartu-a"}));
+    CHECK_FALSE(is_routing_explanation({"explain", "9c41d0", "a.log", "/var/log/b.log"}));
+    CHECK_FALSE(is_routing_explanation({"explain", "9c41d0", "/var/log/a.log", "/b.log"}));
+    CHECK_FALSE(is_routing_explanation({"explain", "orders", "GET"}));
+    CHECK_FALSE(is_routing_explanation({"explain", "orders", "GET", ""}));
+    CHECK_FALSE(is_routing_explanation({"drain", "orders", "GET", "/orders"}));
+}
+
 // Guards against commands that are parsed as another command or with wrong arguments.
 TEST(language, commands_are_parsed_with_their_arguments)
 {
