End an answer without end at the deadline of its attempt

Cause: an upstream in trouble may send bytes that never become a complete answer until the caller closes. The deadline of an attempt ended with the head of its answer. A body of a byte a second, which is buffered up to 64 KiB before the caller gets any of it, held its request for as long as the caller stayed. Ruled out: endless status lines, fields, interim answers and answers to other requests; they ended at the deadline. Test first: held_answers.bytes_without_end_stop_at_the_deadline (seven places in an answer) failed at "body".

--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -1,3 +1,4 @@
+#include <iterator>
 #include <memory>
 #include <string>
 
@@ -153,6 +154,57 @@
     CHECK(path.events.finished[0].report.result == attempt_result::completed);
 }
 
+// Guards against a request that is held beyond its deadline, and a connection that is used again,
+// when an upstream sends bytes without end that never become a complete answer.
+TEST(held_answers, bytes_without_end_stop_at_the_deadline)
+{
+    struct flow
+    {
+        std::string name;
+        std::string begin;
+        std::string repeated;
+    };
+    std::string const chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    flow const flows[] = {
+        {"body", "HTTP/1.1 200 OK\r\nId: 1\r\n" + chunked, "1\r\nx\r\n"},
+        {"body that ends with the connection", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
+        {"trailers", "HTTP/1.1 200 OK\r\nId: 1\r\n" + chunked + "0\r\n", "T: x\r\n"},
+        {"answer to another request", "HTTP/1.1 200 OK\r\nId: 9\r\n" + chunked, "1\r\nx\r\n"},
+        {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"field", "HTTP/1.1 200 OK\r\nId: ", "x"},
+        {"status line", "HTTP/1.1 200 ", "x"},
+    };
+    std::size_t ended = 0;
+    for (auto const& it : flows)
+    {
+        data_path path{id_echo_settings(), {}, buffer_limit};
+        raw_peer caller{path.io, path.port};
+        path.events.on_request = [&](callers::request_head const& head)
+        { path.attempt(head.id, path.upstream.at()); };
+        caller.send(get("/a", "Id: 1\r\n"));
+        CHECK(path.until(
+            [&]() {
+                return !path.upstream.peers.empty() && path.upstream.peers.back()->has("Id: 1\r\n");
+            }));
+        auto& peer = *path.upstream.peers.back();
+        peer.send(it.begin);
+        for (int second = 0; second < 3 && path.events.finished.empty(); ++second)
+        {
+            peer.send(it.repeated);
+            path.io.poll();
+            path.timers.advance(std::chrono::seconds(1));
+        }
+        CHECK_TRUE_TEXT(path.until([&]() { return path.events.finished.size() == 1; }),
+                        it.name.c_str());
+        CHECK_TRUE_TEXT(path.events.finished[0].report.result == attempt_result::timed_out,
+                        it.name.c_str());
+        CHECK_TRUE_TEXT(caller.text().empty(), it.name.c_str());
+        LONGS_EQUAL(0, path.client.idle_connections());
+        ++ended;
+    }
+    LONGS_EQUAL(std::size(flows), ended);
+}
+
 TEST(held_answers, a_refusal_is_reported_as_shed)
 {
     request("1").send("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
--- a/src/upstreams/client_test.cpp
+++ b/src/upstreams/client_test.cpp
@@ -51,6 +51,7 @@
         heads[id] = head;
         if (reads_body)
         {
+            attempts[id]->lift_deadline();
             take(id);
         }
     }
--- a/src/upstreams/running_attempt.cpp
+++ b/src/upstreams/running_attempt.cpp
@@ -265,6 +265,11 @@
     }
 }
 
+void running_attempt::lift_deadline()
+{
+    timer_.reset();
+}
+
 void running_attempt::cancel()
 {
     finish(writer_.bytes_sent() > 0 ? attempt_result::cancelled : attempt_result::not_sent);
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -147,7 +147,6 @@
         return !until_close_;
     }
     head_done_ = true;
-    timer_.reset();
     keep_alive_ = head.keep_alive;
     report_.status = head.status;
     report_.upstream_leaving = !keep_alive_;
