--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -115,8 +115,8 @@
     /// Releases the first `size` bytes of the part that `part()` returned last.
     virtual void consume(std::size_t size) = 0;
 
-    /// Ends the attempt's deadline, since its answer is being forwarded. Until then the attempt ends
-    /// at the deadline even if its answer keeps arriving.
+    /// Ends the attempt's deadline, since its answer is being forwarded. Until then the attempt
+    /// ends at the deadline even if its answer keeps arriving.
     virtual void lift_deadline() = 0;
 
     /// Notifies the attempt that the body source has more bytes or has ended.
