--- a/src/include/fuchsiaproxy/operators/language.hpp
+++ b/src/include/fuchsiaproxy/operators/language.hpp
@@ -169,6 +169,10 @@
 /// message has the line, the column and what was expected there. Thread safe.
 base::result<std::vector<command>> parse_commands(std::string_view text);
 
+/// Returns whether the words of a command line are the command `explain SERVICE METHOD PATH`, which
+/// entries answer, and not `explain ID [LOG...]`, which reads logs. Thread safe.
+bool is_routing_explanation(std::vector<std::string> const& words);
+
 /// Returns the keywords that can complete the last word of `line` or follow it. Empty where a name,
 /// a number or a path is expected. Thread safe.
 std::vector<std::string> completions(std::string_view line);
