--- a/tests/soak/soaking/testbed.py
+++ b/tests/soak/soaking/testbed.py
@@ -83,10 +83,7 @@
             "limits": {"descriptors": 1024},
             "bounds": {"extra_attempt_ratio": BOUNDS["retry_ratio"],
                        "extra_attempt_slack": retry_slack, "stop_s": BOUNDS["grace_s"],
-                       "store_settle_ms": int(BOUNDS["stability_s"] * 1000), "look_up_ttl_s": 5,
-                       "configuration_ms": int(BOUNDS["config_apply_s"] * 1000),
-                       "drain_ms": int(BOUNDS["drain_s"] * 1000),
-                       "evacuation_ms": int(BOUNDS["evacuation_s"] * 1000)}}
+                       "store_settle_ms": int(BOUNDS["stability_s"] * 1000), "look_up_ttl_s": 5}}
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
