--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -537,7 +537,7 @@
 }
 
 // Guards against loads of other regions that expire before the next message in regions with more
-// than 75 entries: upstreams appeared idle for a part of each interval.
+// than 80 entries: upstreams appeared idle for a part of each interval.
 TEST(director, loads_of_large_regions_are_kept_until_the_next_message)
 {
     constexpr int entries = 98;
