Read a last chunk only when five bytes of it have arrived

What callers saw: an upstream that breaks off an empty chunked answer after "0 CR LF" ended the entry with SIGABRT.

Cause: Boost.Beast 1.74 asserts in parse_chunk_header that five bytes are buffered when it goes on with a last chunk whose first line it has parsed (`n >= 5`). A body without data may have three or four. `attempt::part` also decodes twice without new input, which the parser's contract forbids.

Ruled out: that only a broken answer does it (a whole one in three pieces does), and that only the second call without new bytes does it (the fourth byte does as well).

Change: `message_reader::next` calls the parser only with bytes that it has not seen, and not with fewer than five bytes of what may be a last chunk. The same stood on three related paths: bodies of callers (same reader), answers of the store and requests to the operators' interface (Beast's own reading loop), the last before the key is checked. The latter two now read five bytes of a chunked body before they hand it to Beast.

Why it works: whatever bytes arrive, the parser is in that state only with the five bytes that it asserts; no body is delayed, as a last chunk that begins the body has five bytes at least.

Open: fuchsiactl and the stand-ins use Beast's loop as well; they meet only servers and clients of this project.

--- a/src/callers/server_test.cpp
+++ b/src/callers/server_test.cpp
@@ -89,6 +89,25 @@
     CHECK(starts_with(small.send_and_receive(head + std::string(20000, '0')), "HTTP/1.1 400"));
 }
 
+// Guards against a caller that ends the process with an empty chunked body that arrives in pieces.
+TEST(refused_requests, an_empty_chunked_body_in_pieces_is_read)
+{
+    raw_peer caller(fixture.io, fixture.port);
+    caller.send(request_text("Transfer-Encoding: chunked\r\n", "POST /s"));
+    CHECK(fixture.until([&]() { return fixture.handler.exchanges.size() == 1; }));
+    std::size_t sent = caller.sent();
+    for (std::string const piece : {"0\r\n", "\r", "\n"})
+    {
+        CHECK(fixture.handler.last_read.state == body_state::pending);
+        caller.send(piece);
+        sent += piece.size();
+        CHECK(fixture.until([&]() { return caller.sent() == sent; }));
+        testing::run_ready(fixture.io);
+    }
+    CHECK(fixture.until([&]() { return fixture.handler.last_read.state == body_state::end; }));
+    CHECK_EQUAL(std::string(), fixture.handler.body);
+}
+
 // Guards against a missing answer, or one without an outcome, when the buffer pool is exhausted.
 TEST(refused_requests, get_503_while_there_is_no_buffer)
 {
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
+#include "fuchsiaproxy/http/chunked_body.hpp"
+
 namespace fuchsiaproxy::http
 {
 namespace
@@ -118,6 +120,14 @@
         this->eager(false);
     }
 
+    /// Returns whether `rest` may be an incomplete last chunk that `put` must not be called with;
+    /// see `min_chunked_body`.
+    bool needs_more_than(std::string_view rest) const
+    {
+        return this->chunked() && chunk_data_left_ == 0 && rest.size() < min_chunked_body &&
+               rest.front() == '0';
+    }
+
     std::string_view data;
     int version = 0;
 
@@ -152,15 +162,21 @@
         data = to_std(text);
         return text.size();
     }
-    void on_chunk_header_impl(std::uint64_t, beast_view, error_code&) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, beast_view text, error_code&) override
+    void on_chunk_header_impl(std::uint64_t size, beast_view, error_code&) override
+    {
+        chunk_data_left_ = size;
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t left, beast_view text, error_code&) override
     {
         data = to_std(text);
+        chunk_data_left_ = left - text.size();
         return text.size();
     }
     void on_finish_impl(error_code&) override {}
 
     message_head* head_;
+    /// Bytes of the current chunk's data that have not been parsed; zero between chunks.
+    std::uint64_t chunk_data_left_ = 0;
 };
 
 template <bool IsRequest>
@@ -170,6 +186,7 @@
     head_error read_head(std::string_view text, bool without_body, message_head& out) override
     {
         out = message_head{};
+        unparsed_size_ = 0;
         std::size_t count = 0;
         auto const checked = check_fields(text, IsRequest, count);
         if (checked != head_error::none)
@@ -199,14 +216,21 @@
         body_step step;
         while (!done() && step.consumed < input.size())
         {
+            auto const rest = input.substr(step.consumed);
+            if (rest.size() <= unparsed_size_ || parser_->needs_more_than(rest))
+            {
+                break;
+            }
             error_code ec;
             parser_->data = {};
-            auto const rest = input.substr(step.consumed);
-            step.consumed += parser_->put(boost::asio::buffer(rest.data(), rest.size()), ec);
+            auto const consumed = parser_->put(boost::asio::buffer(rest.data(), rest.size()), ec);
+            step.consumed += consumed;
             if (ec == beast_http::error::need_more)
             {
+                unparsed_size_ = rest.size() - consumed;
                 break;
             }
+            unparsed_size_ = 0;
             step.malformed = ec.failed();
             step.data = parser_->data;
             if (step.malformed || !step.data.empty())
@@ -224,6 +248,9 @@
 
 private:
     std::optional<parser<IsRequest>> parser_;
+    /// Size of the input that the parser could not use without further bytes. Beast requires more
+    /// input before `put` is called again.
+    std::size_t unparsed_size_ = 0;
 };
 
 } // namespace
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -180,6 +180,34 @@
     }
 }
 
+// Guards against input that ends the process: a body without data whose last chunk arrives in
+// pieces, or that is read again before more of it has arrived, failed an assertion of the parser.
+TEST(chunked_bodies, without_data_may_be_split_and_read_again_at_any_byte)
+{
+    for (std::string const text :
+         {"0\r\n\r\n", "00\r\n\r\n", "0;x=y\r\n\r\n", "0\r\nT: t\r\n\r\n", "1\r\n0\r\n0\r\n\r\n"})
+    {
+        auto const header = request("Transfer-Encoding: chunked\r\n");
+        CHECK(reader->read_head(header, false, head) == head_error::none);
+        std::string data;
+        std::size_t consumed = 0;
+        for (std::size_t end = 1; end <= text.size(); ++end)
+        {
+            for (int repeat = 0; repeat < 3 && !reader->done(); ++repeat)
+            {
+                auto const it =
+                    reader->next(std::string_view(text).substr(consumed, end - consumed));
+                CHECK_FALSE_TEXT(it.malformed, text.c_str());
+                consumed += it.consumed;
+                data += it.data;
+            }
+        }
+        CHECK_TEXT(reader->done(), text.c_str());
+        LONGS_EQUAL_TEXT(text.size(), consumed, text.c_str());
+        CHECK_EQUAL_TEXT(std::string(text.front() == '1' ? "0" : ""), data, text.c_str());
+    }
+}
+
 // Guards against accepting chunk framing that another server could interpret differently.
 TEST(chunked_bodies, malformed_framing_is_refused)
 {
--- a/src/include/fuchsiaproxy/http/message_reader.hpp
+++ b/src/include/fuchsiaproxy/http/message_reader.hpp
@@ -80,6 +80,7 @@
     virtual head_error read_head(std::string_view text, bool without_body, message_head& out) = 0;
 
     /// Reads the next part of the body from `input`, which starts after the bytes consumed so far.
+    /// It may be called again with the same input, and then consumes nothing.
     /// Precondition: `read_head` returned `none` and `done()` is false.
     virtual body_step next(std::string_view input) = 0;
 
--- a/src/metadata/http_client.cpp
+++ b/src/metadata/http_client.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
+#include "fuchsiaproxy/http/chunked_body.hpp"
+
 namespace fuchsiaproxy::metadata
 {
 namespace
@@ -347,18 +349,31 @@
         // body limit was exceeded if it reads header and body in one step.
         http::async_read_header(call->conn->socket, call->conn->buffer, *call->parser,
                                 [self = shared_from_this(), call](error_code ec, std::size_t)
-                                { self->read_body(call, ec); });
+                                { self->on_head(call, ec); });
+    }
+
+    void on_head(call_ptr const& call, error_code ec)
+    {
+        if (ec || call->finished || !call->parser->chunked())
+        {
+            read_body(call, ec);
+            return;
+        }
+        fuchsiaproxy::http::async_read_chunked_start(
+            call->conn->socket, call->conn->buffer,
+            [self = shared_from_this(), call, conn = call->conn](error_code failure)
+            { self->read_body(call, failure); });
     }
 
-    void read_body(call_ptr const& call, error_code header_error)
+    void read_body(call_ptr const& call, error_code earlier_error)
     {
         if (call->finished)
         {
             return;
         }
-        if (header_error)
+        if (earlier_error)
         {
-            finish_failed(call, "read: " + header_error.message());
+            finish_failed(call, "read: " + earlier_error.message());
             return;
         }
         http::async_read(call->conn->socket, call->conn->buffer, *call->parser,
--- a/src/operators/http_api.cpp
+++ b/src/operators/http_api.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "api_json.hpp"
+#include "fuchsiaproxy/http/chunked_body.hpp"
 #include "fuchsiaproxy/operators/api_router.hpp"
 
 namespace fuchsiaproxy::operators
@@ -55,9 +56,9 @@
         parser_->body_limit(options_.max_body_bytes);
         stream_.expires_after(options_.idle_limit);
         reading_ = true;
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = shared_from_this()](error_code ec, std::size_t)
-                         { self->on_read(ec); });
+        http::async_read_header(stream_, buffer_, *parser_,
+                                [self = shared_from_this()](error_code ec, std::size_t)
+                                { self->on_head(ec); });
     }
 
     /// Closes the connection, after the answer if a request is in flight.
@@ -71,6 +72,30 @@
     }
 
 private:
+    void on_head(error_code ec)
+    {
+        if (ec || !parser_->chunked())
+        {
+            read_body(ec);
+            return;
+        }
+        fuchsiaproxy::http::async_read_chunked_start(stream_, buffer_,
+                                                     [self = shared_from_this()](error_code failure)
+                                                     { self->read_body(failure); });
+    }
+
+    void read_body(error_code earlier_error)
+    {
+        if (earlier_error || parser_->is_done())
+        {
+            on_read(earlier_error);
+            return;
+        }
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](error_code ec, std::size_t)
+                         { self->on_read(ec); });
+    }
+
     void on_read(error_code ec)
     {
         reading_ = false;
--- a/src/operators/http_api_test.cpp
+++ b/src/operators/http_api_test.cpp
@@ -1,9 +1,14 @@
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
 #include "fixture_test.hpp"
 
 #include <thread>
 
+#include "fuchsiaproxy/metadata/http_client.hpp"
 #include "fuchsiaproxy/model/json.hpp"
 #include "fuchsiaproxy/operators/api_client.hpp"
 #include "fuchsiaproxy/operators/http_api.hpp"
@@ -138,6 +143,29 @@
     CHECK(shown.find(c.members[1].operators[0].hash) == std::string::npos);
 }
 
+// Guards against a request that ends the process: an empty chunked body that arrives in pieces
+// failed an assertion of the parser, before the key was checked.
+TEST(http_api, an_empty_chunked_body_in_pieces_is_read)
+{
+    running_api it(true);
+    auto const at = metadata::parse_endpoint(it.address);
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({boost::asio::ip::make_address(at.address), at.port});
+    caller.set_option(boost::asio::ip::tcp::no_delay(true));
+    for (std::string const piece :
+         {"POST /v1/bootstrap HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\n",
+          "\r", "\n"})
+    {
+        boost::asio::write(caller, boost::asio::buffer(piece));
+        // The answer to a later request on another connection shows that the piece has been read.
+        CHECK_EQUAL(200U, it.send("GET", "/healthz").status);
+    }
+    std::string answer;
+    boost::asio::read_until(caller, boost::asio::dynamic_buffer(answer), "\r\n\r\n");
+    CHECK_EQUAL(std::string("HTTP/1.1 4"), answer.substr(0, 10));
+}
+
 // Guards against malformed addresses and unreachable entries that are not reported as errors.
 TEST(http_api, the_client_reports_malformed_addresses_and_unreachable_entries)
 {
--- a/src/standin/http_client_test.cpp
+++ b/src/standin/http_client_test.cpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "../testing/asio_runner.hpp"
+#include "../testing/loopback.hpp"
 #include "fuchsiaproxy/standin/http_server.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -131,6 +131,30 @@
     CHECK_EQUAL(2U, client->counts().opened);
 }
 
+// Guards against a server that ends the process with an empty chunked answer that arrives in
+// pieces.
+TEST(http_client, an_empty_chunked_answer_in_pieces_is_read)
+{
+    testing::raw_listener raw(io);
+    metadata::http_client client(io, {"127.0.0.1", raw.port()}, {});
+    start(client);
+    CHECK(testing::run_until(io, [&]
+                             { return raw.peers.size() == 1 && raw.peers[0]->has("\r\n\r\n"); }));
+    std::size_t sent = 0;
+    for (std::string const piece :
+         {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\n", "\r", "\n"})
+    {
+        CHECK(answers.empty());
+        raw.peers[0]->send(piece);
+        sent += piece.size();
+        CHECK(testing::run_until(io, [&] { return raw.peers[0]->sent() == sent; }));
+        testing::run_ready(io);
+    }
+    wait_for_answers(1);
+    CHECK(answers[0].state == http_call_state::answered);
+    LONGS_EQUAL(503, answers[0].status);
+}
+
 // Guards against accepting malformed addresses.
 TEST(http_client, malformed_endpoints_are_rejected)
 {
--- a/src/upstreams/client_test.cpp
+++ b/src/upstreams/client_test.cpp
@@ -172,6 +172,8 @@
          broken, false},
         {"cut final chunk", answer_text("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n"),
          true, broken, false},
+        {"empty body, cut final chunk", answer_text("Transfer-Encoding: chunked\r\n", "0\r\n"),
+         true, broken, false},
         {"bad chunk", answer_text("Transfer-Encoding: chunked\r\n", "5\r\nhelloworld\r\n"), false,
          broken, false},
         {"until close", answer_text("", "hello"), true, broken, false},
@@ -216,6 +218,20 @@
     }
 }
 
+// Guards against an upstream that ends the process: an empty chunked answer that stops within its
+// last chunk was parsed twice without new input, which failed an assertion of the parser.
+TEST(upstream_answers, an_empty_answer_that_stops_within_its_last_chunk_is_broken)
+{
+    client_fixture path;
+    auto const id = path.start("POST");
+    auto& peer = path.peer(0);
+    peer.send(answer_text("Transfer-Encoding: chunked\r\n", "0\r\n"));
+    CHECK(path.until([&]() { return path.heads.count(id) == 1; }));
+    peer.close();
+    CHECK(path.report(id).result == attempt_result::broken);
+    LONGS_EQUAL(0, path.buffers.in_use());
+}
+
 // Guards against waiting for a body after an answer to HEAD, or reading the next answer as one.
 TEST(upstream_answers, to_head_have_no_body)
 {
