Find a watch that was sent into an outage of the store, on a few entries

Cause: all entries get the same changes at once, pause alike for 0.7 s and then send the next watch, into the outage. The store drops it. Nothing tells the follower before the watch's own limit of 20 s, and the other safeguard, a peer with a later revision, needs one entry that isn't affected.

Change: the first entry of each availability zone, and at least the first three of all, are sentinels. Their watches are short enough that a lost one is found and the keys are listed again within the time after an outage from which entries must follow the store; the others learn of a later revision from them as before. The limit on a watch without an answer is now the follower's own, on its timer service. A call to the store that isn't answered closes the idle connections of both clients, as the listing that follows would use one that went silent with it.

Why it works: a sentinel's watch that was sent before the end of an outage is given up at most `stability_ms` less 0.3 s later, whatever became of it, and the listing doesn't depend on any connection that was open.

--- a/src/include/fuchsiaproxy/metadata/http_client.hpp
+++ b/src/include/fuchsiaproxy/metadata/http_client.hpp
@@ -118,6 +118,9 @@
     /// function. Precondition: `call.deadline > 0`.
     void start(http_call call, handler done);
 
+    /// Closes the connections that no call uses. Further calls open new ones.
+    void close_idle_connections();
+
     /// Returns the connection counters.
     http_connection_counts const& counts() const noexcept;
 
--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -30,7 +30,8 @@
     virtual void store_lost(std::string const& why) = 0;
 
     /// The store is reachable again. It was last known to be unreachable at `last_unavailable_at`:
-    /// the start of the last failed listing, or the end of the watch if only the watch failed.
+    /// the start of the last failed listing; if only the watch failed, its end, or the time at
+    /// which it should have been answered.
     virtual void store_regained(base::time_point last_unavailable_at) = 0;
 
     /// A watch was abandoned at revision `known`, because another follower had reached
@@ -45,9 +46,11 @@
 struct follower_settings
 {
     std::string prefix;
-    /// Maximum wait of one watch. TCP keep-alive probes detect a connection that becomes
-    /// unresponsive meanwhile.
+    /// Maximum wait of one watch.
     base::duration watch_wait = std::chrono::seconds(20);
+    /// Time after the end of its wait by which a watch must have been answered. Otherwise its call
+    /// or its answer was lost, as when it was sent while the store did not respond.
+    base::duration answer_margin = std::chrono::milliseconds(700);
     /// Minimum time between the starts of two watches. Changes within it are fetched together,
     /// which bounds the rate of calls when keys change often.
     base::duration min_watch_interval = std::chrono::milliseconds(700);
@@ -72,11 +75,13 @@
     std::uint64_t lost_histories = 0;
     /// Watches that were abandoned because another follower had reached a later revision.
     std::uint64_t lagging_watches = 0;
+    /// Watches that were abandoned because they were not answered in time.
+    std::uint64_t unanswered_watches = 0;
 };
 
 /// Follows the keys with a prefix: lists them once and then watches from the revision of the first
-/// page. Lists again when a watch fails or lags behind another follower, or when the store no
-/// longer has the history since the last known revision.
+/// page. Lists again when a watch fails, is not answered or lags behind another follower, or when
+/// the store no longer has the history since the last known revision.
 ///
 /// Thread safety: none; used on the thread of the store and the timers.
 class store_follower
@@ -99,6 +104,10 @@
     /// proxy that still answers them.
     void on_peer_revision(store_revision seen);
 
+    /// Replaces `follower_settings::watch_wait`. A watch in progress is abandoned if it has not
+    /// been answered after the new wait and the margin. Precondition: `wait > 0`.
+    void set_watch_wait(base::duration wait);
+
     /// Returns the counters.
     follower_counters const& counters() const;
 
--- a/src/metadata/http_client.cpp
+++ b/src/metadata/http_client.cpp
@@ -197,6 +197,11 @@
         idle_.clear();
     }
 
+    void close_idle_connections()
+    {
+        idle_.clear();
+    }
+
     http_connection_counts const& counts() const noexcept
     {
         return counts_;
@@ -493,6 +498,11 @@
     impl_->start(std::move(call), std::move(done));
 }
 
+void http_client::close_idle_connections()
+{
+    impl_->close_idle_connections();
+}
+
 http_connection_counts const& http_client::counts() const noexcept
 {
     return impl_->counts();
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -33,6 +33,16 @@
         stopped_ = true;
         timer_.reset();
         lag_timer_.reset();
+        answer_timer_.reset();
+    }
+
+    void set_watch_wait(base::duration wait)
+    {
+        settings_.watch_wait = wait;
+        if (watching_ && answer_due_ > timers_.now() + wait)
+        {
+            limit_answer(timers_.now() + wait);
+        }
     }
 
     void on_peer_revision(store_revision seen)
@@ -108,13 +118,37 @@
                          if (self && !self->stopped_ && self->watching_ &&
                              number == self->counters_.watches)
                          {
-                             self->watching_ = false;
+                             self->end_watch();
                              self->on_changes(std::move(seen));
                          }
                      });
+        limit_answer(watch_started_at_ + settings_.watch_wait);
         limit_watch_lag();
     }
 
+    /// Ends the watch in progress; a later answer to it is ignored.
+    void end_watch()
+    {
+        watching_ = false;
+        answer_timer_.reset();
+    }
+
+    /// Starts a timer for the watch in progress, whose answer is due at `due`.
+    void limit_answer(base::time_point due)
+    {
+        answer_due_ = due;
+        answer_timer_ =
+            timers_.at(due + settings_.answer_margin,
+                       [this](base::time_point)
+                       {
+                           end_watch();
+                           ++counters_.unanswered_watches;
+                           on_failure(base::error{base::error_kind::store_answer_unknown,
+                                                  "a watch was not answered"},
+                                      answer_due_);
+                       });
+    }
+
     /// Starts a timer for the watch in progress if it lags behind another follower.
     void limit_watch_lag()
     {
@@ -131,7 +165,7 @@
                                         limit_watch_lag();
                                         return;
                                     }
-                                    watching_ = false;
+                                    end_watch();
                                     ++counters_.lagging_watches;
                                     events_.watch_given_up(revision_, target_revision);
                                     list();
@@ -200,6 +234,9 @@
     std::unique_ptr<base::timer_subscription> lag_timer_;
     bool watching_ = false;
     base::time_point watch_started_at_{};
+    /// Time at which the watch in progress is to be answered, and the timer for when it is not.
+    base::time_point answer_due_{};
+    std::unique_ptr<base::timer_subscription> answer_timer_;
     /// Start of the listing in progress, and last time the store was known to be unreachable.
     base::time_point listing_started_at_{};
     base::time_point last_unavailable_at_{};
@@ -228,6 +265,11 @@
     impl_->on_peer_revision(seen);
 }
 
+void store_follower::set_watch_wait(base::duration wait)
+{
+    impl_->set_watch_wait(wait);
+}
+
 follower_counters const& store_follower::counters() const
 {
     return impl_->counters();
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -28,6 +28,7 @@
     struct waiting_watch
     {
         store_revision after;
+        base::duration wait;
         changes_handler done;
     };
 
@@ -35,9 +36,10 @@
     {
         lists.push_back({std::move(after), std::move(done)});
     }
-    void watch(std::string, store_revision after, base::duration, changes_handler done) override
+    void watch(std::string, store_revision after, base::duration wait,
+               changes_handler done) override
     {
-        watches.push_back({after, std::move(done)});
+        watches.push_back({after, wait, std::move(done)});
     }
     void put(std::string, std::string, metadata::lease_id, done_handler) override {}
     void grant_lease(base::duration, lease_handler) override {}
@@ -259,3 +261,47 @@
     timers.advance(settings.max_watch_lag);
     CHECK(store.lists.empty());
 }
+
+// Guards against a watch that was sent while the store did not respond, and is never answered: all
+// entries kept an outdated configuration until the watch reached its own time limit of 20 s.
+TEST(store_follower, replaces_a_watch_that_is_not_answered)
+{
+    list_at(10);
+    auto const sent = timers.now();
+    auto unanswered = store.take_watch();
+    timers.advance(settings.watch_wait + settings.answer_margin - 1ms);
+    CHECK(store.lists.empty());
+    timers.advance(1ms + settings.max_backoff);
+    LONGS_EQUAL(1, store.lists.size());
+    list_at(12);
+    CHECK(events.revision == store_revision(12));
+    LONGS_EQUAL(2, events.reachability.size());
+    CHECK(events.last_unavailable_at == sent + settings.watch_wait);
+    LONGS_EQUAL(1, follower->counters().unanswered_watches);
+    unanswered.done(metadata::key_value_changes{{item("late", 11)}, store_revision(11)});
+    CHECK(events.changes.empty());
+}
+
+// Guards against a lost watch that an entry keeps although it has become a sentinel since.
+TEST(store_follower, a_shorter_wait_applies_to_the_watch_in_progress)
+{
+    list_at(10);
+    timers.advance(5s);
+    follower->set_watch_wait(2s);
+    timers.advance(2s + settings.answer_margin + settings.max_backoff);
+    LONGS_EQUAL(1, store.lists.size());
+}
+
+// Guards against a watch that is given up too soon, and listings that it would cost, when an entry
+// is no longer a sentinel.
+TEST(store_follower, a_longer_wait_applies_to_the_next_watch)
+{
+    follower->set_watch_wait(2s);
+    list_at(10);
+    follower->set_watch_wait(20s);
+    store.take_watch().done(metadata::key_value_changes{{}, store_revision(10)});
+    timers.advance(settings.min_watch_interval);
+    CHECK(store.take_watch().wait == 20s);
+    timers.advance(19s);
+    CHECK(store.lists.empty());
+}
--- a/src/steering/parts_test.cpp
+++ b/src/steering/parts_test.cpp
@@ -2,6 +2,7 @@
 #include <set>
 #include <string>
 
+#include "fuchsiaproxy/steering/sentinels.hpp"
 #include "object_order.hpp"
 #include "peer_loads.hpp"
 
@@ -148,3 +149,57 @@
     loads.apply({from, 1, {{7, 1, 0}}}, now);
     LONGS_EQUAL(1, loads.in_flight_at(7));
 }
+
+TEST_GROUP(sentinels)
+{
+    entry_zones live;
+
+    void add(std::string const& id, std::string const& zone)
+    {
+        live.emplace(base::instance_id(id), base::availability_zone_id(zone));
+    }
+    bool is(std::string const& id)
+    {
+        auto const self = base::instance_id(id);
+        return is_sentinel(self, live.at(self), live);
+    }
+};
+
+// Guards against a fleet whose sentinels are all lost with one zone, and against as many calls to
+// the store as there are entries.
+TEST(sentinels, the_first_entry_of_each_zone_is_one)
+{
+    for (int n = 0; n < 90; ++n)
+    {
+        auto const zone = std::string(1, static_cast<char>('a' + n % 9));
+        add("e" + zone + std::to_string(100 + n), zone);
+    }
+    std::map<base::availability_zone_id, int> count;
+    int total = 0;
+    for (auto const& it : live)
+    {
+        auto const chosen = is(it.first.value());
+        count[it.second] += chosen ? 1 : 0;
+        total += chosen ? 1 : 0;
+    }
+    for (auto const& it : count)
+    {
+        CHECK(it.second >= 1);
+    }
+    CHECK(total < 9 + min_sentinels);
+}
+
+// Guards against a fleet in one zone that depends on a single entry, and against an entry that asks
+// rarely because it does not know of any other yet.
+TEST(sentinels, a_small_fleet_has_several)
+{
+    CHECK(is_sentinel(base::instance_id("alone"), base::availability_zone_id("a"), {}));
+    for (auto const* id : {"e1", "e2", "e3", "e4", "e5"})
+    {
+        add(id, "a");
+    }
+    CHECK(is("e1") && is("e2") && is("e3"));
+    CHECK_FALSE(is("e4"));
+    live.erase(base::instance_id("e1"));
+    CHECK(is("e4"));
+}
