Refuse requests of a stopping entry by their deadline

Cause: the gateway refused new requests from a fixed fraction (0.45) of the grace time on. Whether an answer can come before the end depends on the request's deadline, which it didn't look at.

Change: the director is told when the process ends (less 200 ms for an answer to arrive) and refuses, as not run, a request whose deadline is later. Others are accepted until the connections close. So requests with short time limits are now served for longer, and those with limits beyond the grace time are refused from SIGTERM on, with 20 ms to come back after, since the other entries can serve them at once.

Why it works: an accepted request ends by its deadline at the latest, which is before the end of the process. A request that arrived before SIGTERM with a deadline after the end can still be cut; the platform kills the process then.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,6 +26,9 @@
     return std::to_string(ms / 1000) + "." + fraction;
 }
 
+// Time for an answer that is given at the deadline of its request to reach the caller.
+constexpr base::duration answer_time = std::chrono::milliseconds(200);
+
 // One in this many successful attempts is logged.
 constexpr std::uint64_t success_log_interval = 64;
 
@@ -125,15 +128,6 @@
 void gateway::request_arrived(callers::request_head const& head)
 {
     steering::director_actions out;
-    if (refusing_)
-    {
-        steering::answer_error refused{head.id, base::error_kind::draining,
-                                       settings_.director.retry_after};
-        refused.trace_id = head.fields.find(settings_.fields.request_id).value_or("");
-        out.push_back(std::move(refused));
-        perform(out);
-        return;
-    }
     steering::arrived_request it;
     it.id = head.id;
     it.trace_id = head.fields.find(settings_.fields.request_id).value_or(std::string_view());
@@ -297,8 +291,7 @@
     draining_ = true;
     server_.disable_keep_alive();
     auto const now = timers_.now();
-    drain_steps_.push_back(
-        timers_.at(now + settings_.refuse_after, [this](base::time_point) { refusing_ = true; }));
+    director_.drain_until(now + settings_.end_after - answer_time);
     drain_steps_.push_back(timers_.at(now + settings_.close_after, [this](base::time_point)
                                       { server_.drain([this] { finish_drain(0); }); }));
     drain_steps_.push_back(timers_.at(now + settings_.end_after, [this](base::time_point)
--- a/src/include/fuchsiaproxy/gateway/gateway.hpp
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -51,9 +51,8 @@
     std::size_t buffers = 4096;
     /// Bytes of an answer that are buffered until it is complete.
     std::size_t max_buffered_bytes = 64UL * 1024;
-    /// Times after the stop signal at which new requests are refused, connections are closed, and
-    /// the process ends even if requests are still open.
-    base::duration refuse_after = std::chrono::milliseconds(2500);
+    /// Times after the stop signal at which connections are closed, and at which the process ends
+    /// even if requests are still open.
     base::duration close_after = std::chrono::milliseconds(4500);
     base::duration end_after = std::chrono::milliseconds(5600);
 };
@@ -84,8 +83,9 @@
     /// Applies an event of the control plane.
     void handle(steering::control_event const& it);
 
-    /// Stops gracefully and calls `done` with the number of requests that are still open.
-    /// Precondition: called once.
+    /// Stops gracefully and calls `done` with the number of requests that are still open. Until the
+    /// connections are closed, requests are accepted if their deadlines leave time for their
+    /// answers. Precondition: called once.
     void drain(std::function<void(std::size_t left)> done);
 
     /// Replaces the bounds set by operators.
@@ -147,7 +147,6 @@
     latency_buckets attempt_times_;
     std::uint64_t successes_ = 0;
     bool draining_ = false;
-    bool refusing_ = false;
 };
 
 } // namespace fuchsiaproxy::gateway
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -195,6 +195,10 @@
     /// Replaces the operators' bounds.
     void set_bounds(operator_bounds const& bounds);
 
+    /// Announces that the process ends at `end`. From now on a request is refused as `draining` if
+    /// its deadline is later, because its answer might be cut off.
+    void drain_until(base::time_point end);
+
     /// Applies a load message of another entry.
     void on_peer_load(peer_load const& it, base::time_point now, director_actions& out);
 
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -106,6 +106,8 @@
     double latency_goal_factor = 1.15;
     /// Retry delay given to callers whose requests are refused.
     base::duration retry_after = std::chrono::milliseconds(250);
+    /// Retry delay given by a draining entry: the other entries can serve the request immediately.
+    base::duration draining_retry_after = std::chrono::milliseconds(20);
 
     /// Maximum number of entries in the answer to a look-up; callers use no more.
     std::size_t look_up_entries = 64;
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -308,6 +308,18 @@
         return;
     }
     request_state request;
+    request.deadline = now + found->timeout;
+    request.deadline = it.deadline ? std::min(request.deadline, *it.deadline) : request.deadline;
+    if (request.deadline > my.ends_at)
+    {
+        ++my.counters.refused;
+        answer_error made{it.id, error_kind::draining, my.settings.draining_retry_after};
+        made.trace_id = it.trace_id;
+        made.route = found->name;
+        made.version = my.config->version;
+        out.push_back(std::move(made));
+        return;
+    }
     request.config = my.config;
     request.matched_route = found;
     request.trace_id = it.trace_id;
@@ -316,8 +328,6 @@
         &my.work_times_by_route.for_route(found->name, request.service, found->latency_goal);
     request.object = it.affinity_key.empty() ? 0 : hash_of(it.affinity_key);
     request.arrived = now;
-    request.deadline = now + found->timeout;
-    request.deadline = it.deadline ? std::min(request.deadline, *it.deadline) : request.deadline;
     if (it.deadline)
     {
         // Callers state the remaining time, so a retry states less than first requests do.
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -67,6 +67,11 @@
     state_->budgets.clear();
 }
 
+void director::drain_until(base::time_point end)
+{
+    state_->ends_at = end;
+}
+
 void director::on_peer_load(peer_load const& it, base::time_point now, director_actions& out)
 {
     auto& my = *state_;
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -116,6 +116,8 @@
     std::unordered_map<std::string, base::duration> longest_timeouts;
     request_map requests;
     std::unordered_map<base::attempt_id, attempt_state> attempts;
+    /// Time at which the process ends; the largest time unless it is draining.
+    base::time_point ends_at = base::time_point::max();
     std::uint64_t last_attempt_id = 0;
     std::uint64_t load_sequence = 0;
     /// Latest control-plane revisions: that of this entry, and the highest one of other entries.
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -192,6 +192,29 @@
     }
 };
 
+// Guards against orders that are accepted during a planned stop and cut off when the process ends,
+// because a clock alone decided when to refuse them.
+TEST(director, a_draining_entry_accepts_only_requests_that_it_can_answer_before_it_ends)
+{
+    configure();
+    list_upstreams({"u1", "u2"});
+    auto const end = now + 4s;
+    request("/order/a", "o", 3s);
+    auto const accepted_before = started();
+    it.drain_until(end);
+    now += 1s;
+    request("/order/a", "o", 3s);
+    CHECK(started().deadline <= end);
+    now += 1ms;
+    request("/order/a", "o", 3s);
+    CHECK(refused() == error_kind::draining);
+    CHECK(action<answer_error>()->retry_after == settings.draining_retry_after);
+    request("/order/a", "o", 2s);
+    CHECK(started().deadline <= end);
+    finish(accepted_before, ended(attempt_result::shed, 503));
+    CHECK(started().deadline <= end);
+}
+
 // Guards against a 404 for requests whose route is in a configuration that has not been read yet.
 TEST(director, requests_before_the_first_configuration_are_refused_as_not_ready)
 {
