Close a connection after a refusal without the id of its request

Cause: a full upstream's refusal may lack the request's id. A late second copy of it on a connection that is in use again can't be told from the refusal of the next request. `finish_shed` gave such connections back to the pool.

Ruled out: copies with an id; they are matched and skipped.

Change: a dialect says whether a copy of an answer could be taken for another answer; after such a one the connection isn't used again. It costs a new connection for each such refusal.

Why it works: the copy comes on the connection of its original, which is closed when the original has been read.

--- a/src/include/fuchsiaproxy/upstreams/dialect.hpp
+++ b/src/include/fuchsiaproxy/upstreams/dialect.hpp
@@ -33,6 +33,10 @@
     /// and the second copy then stands where the next answer is expected.
     virtual bool is_answer_to(http::fields const& answer, http::fields const& request) const = 0;
 
+    /// Returns whether a late second copy of `answer` could be taken for the answer to the next
+    /// request on its connection, so that the connection must not be used again.
+    virtual bool is_ambiguous(http::fields const& answer) const = 0;
+
     /// Returns whether the end of the connection ends the body of an answer without a length. If
     /// false, such an answer counts as broken.
     virtual bool body_may_end_with_connection() const = 0;
--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -31,7 +31,12 @@
     }
     bool is_answer_to(http::fields const& answer, http::fields const& request) const override
     {
-        return answer.find("Id") == request.find("Id");
+        auto const id = answer.find("Id");
+        return id ? id == request.find("Id") : answer.find("Not-Run").has_value();
+    }
+    bool is_ambiguous(http::fields const& answer) const override
+    {
+        return !answer.find("Id");
     }
     bool body_may_end_with_connection() const override
     {
@@ -211,4 +216,15 @@
     CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
     CHECK(path.events.finished[0].report.result == attempt_result::shed);
     CHECK(caller.text().empty());
+    LONGS_EQUAL(1, path.client.idle_connections());
+}
+
+// Guards against an order that runs twice, or runs and is answered as not run: a late second copy
+// of a refusal without an id was taken for the refusal of the next request on the connection.
+TEST(held_answers, a_refusal_without_an_id_ends_its_connection)
+{
+    request("1").send("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::shed);
+    LONGS_EQUAL(0, path.client.connections());
 }
--- a/src/upstreams/dialect.cpp
+++ b/src/upstreams/dialect.cpp
@@ -27,6 +27,12 @@
         return true;
     }
 
+    /// The protocol allows no second copies.
+    bool is_ambiguous(http::fields const&) const override
+    {
+        return false;
+    }
+
     bool body_may_end_with_connection() const override
     {
         return false;
--- a/src/upstreams/running_attempt.hpp
+++ b/src/upstreams/running_attempt.hpp
@@ -111,6 +111,7 @@
     bool awaits_body_ = false;
     bool write_failed_ = false;
     bool head_done_ = false;
+    /// The connection may be used again after the answer.
     bool keep_alive_ = false;
     bool awaits_part_ = false;
     /// The body of the answer ends with the connection.
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -147,9 +147,9 @@
         return !until_close_;
     }
     head_done_ = true;
-    keep_alive_ = head.keep_alive;
+    keep_alive_ = head.keep_alive && !dialect.is_ambiguous(head.fields);
     report_.status = head.status;
-    report_.upstream_leaving = !keep_alive_;
+    report_.upstream_leaving = !head.keep_alive;
     report_.load = dialect.load(head.fields);
     link_->apply_keep_alive_timeout(head.fields);
     if (dialect.is_refusal(head.status, head.fields, request_.shed_statuses))
