Observe an upstream's statement that it leaves, and the pause that it asks for

What callers saw: nothing of ours read either field. An entry out of touch with the store went on sending to an upstream that had said that it was leaving; a full upstream that asked for a pause was sent the next request at once.

Change: the dialect decodes both fields, strictly, into an `upstream_notice`, which is reported with the head of the attempt's own answer, refusals included; an answer to another request, or a malformed one, tells nothing. Bad values are counted, logged and ignored. In `steering` an upstream answers one question, `excluded(now)`: why it gets no new requests and until when (removed, draining, leaving, evacuated, paused, unreachable). Leaving lasts for the lifetime; a pause until the latest end that was asked for, then one request at a time, doubling with each that isn't refused. `lifetime_memory` keeps both, and draining, while a record is gone, and a report with a lower `seq` than a draining one is ignored. If all upstreams that a request may go to are paused, it is refused at once, with a delay that is not before the first pause ends, spread so that callers don't return together.

Ruled out: using an upstream that leaves as long as no other can serve, up to `drain_ms`: refusals are true and simpler.

--- a/src/gateway/entry_metrics.cpp
+++ b/src/gateway/entry_metrics.cpp
@@ -65,6 +65,11 @@
                    it.refused_by_upstreams);
     to.set_counter("fuchsiaproxy_entry_failed_attempts_total", "Attempts whose outcome is unknown.",
                    it.failed_attempts);
+    to.set_counter("fuchsiaproxy_entry_upstreams_leaving_total",
+                   "Upstreams that stated in an answer that they are leaving.",
+                   it.leaving_upstreams);
+    to.set_counter("fuchsiaproxy_entry_upstream_pauses_total", "Pauses that upstreams asked for.",
+                   it.upstream_pauses);
     to.set_counter("fuchsiaproxy_entry_stale_configurations_total",
                    "Configurations older than the one in force.", it.stale_configurations);
     to.gauge("fuchsiaproxy_entry_open_requests", "Requests that have not ended.",
@@ -91,6 +96,9 @@
                    upstreams.broken);
     to.set_counter("fuchsiaproxy_entry_foreign_answers_total",
                    "Answers that belonged to an earlier request.", upstreams.foreign_answers);
+    to.set_counter("fuchsiaproxy_entry_malformed_notices_total",
+                   "Answers with an invalid notice of the upstream about itself.",
+                   upstreams.malformed_notices);
 }
 
 } // namespace
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,6 +143,18 @@
     schedule_tick();
 }
 
+void gateway::upstream_notified(base::attempt_id attempt, upstreams::upstream_notice const& notice)
+{
+    if (notice.malformed)
+    {
+        log_("notice_refused", {{"attempt", std::to_string(attempt.value())}});
+    }
+    steering::director_actions out;
+    director_.on_upstream_notice(attempt, {notice.leaving, notice.pause.value_or(base::duration{})},
+                                 timers_.now(), out);
+    perform(out);
+}
+
 bool gateway::attempt_head(base::attempt_id attempt, unsigned status)
 {
     steering::director_actions out;
@@ -223,6 +235,14 @@
     client_.close_idle_connections(it.at);
 }
 
+void gateway::perform_one(steering::upstream_excluded& it)
+{
+    log_("upstream_excluded", {{"upstream", it.upstream.value()},
+                               {"why", std::string(steering::name_of(it.why))},
+                               {"for_ms", it.lasts > base::duration{} ? ms_text(it.lasts) : "none"},
+                               {"attempt", std::to_string(it.attempt.value())}});
+}
+
 void gateway::perform_one(steering::newer_revision_seen& it)
 {
     if (newer_revision_callback_)
--- a/src/include/fuchsiaproxy/gateway/gateway.hpp
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -114,6 +114,8 @@
     upstreams::client_counters const& client_counts() const;
 
     void request_arrived(callers::request_head const& head) override;
+    void upstream_notified(base::attempt_id attempt,
+                           upstreams::upstream_notice const& notice) override;
     bool attempt_head(base::attempt_id attempt, unsigned status) override;
     void attempt_finished(base::attempt_id attempt,
                           upstreams::attempt_report const& report) override;
@@ -125,6 +127,7 @@
     void perform_one(steering::cancel_attempt& it);
     void perform_one(steering::answer_error& it);
     void perform_one(steering::upstream_retired& it);
+    void perform_one(steering::upstream_excluded& it);
     void perform_one(steering::limits_changed& it);
     void perform_one(steering::newer_revision_seen& it);
     void perform_one(steering::attempt_summary& it);
--- a/src/include/fuchsiaproxy/relay/relay.hpp
+++ b/src/include/fuchsiaproxy/relay/relay.hpp
@@ -30,6 +30,10 @@
     /// its limit allows. A caller that sends slowly therefore occupies no slot of an upstream.
     virtual void request_arrived(callers::request_head const& head) = 0;
 
+    /// The head of an answer to the attempt contains a notice of its upstream, whether or not the
+    /// answer is forwarded.
+    virtual void upstream_notified(base::attempt_id, upstreams::upstream_notice const&) {}
+
     /// An upstream has answered. If the relay buffers answers, this is called once the answer is
     /// complete or exceeds the buffer limit. Returns whether to forward this answer to the caller.
     /// The first accepted answer is forwarded and the request's other attempts are cancelled. An
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -17,6 +17,7 @@
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "fuchsiaproxy/steering/director_settings.hpp"
+#include "fuchsiaproxy/steering/exclusion.hpp"
 #include "fuchsiaproxy/steering/peer_load.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
 
@@ -52,6 +53,15 @@
     bool wrong_upstream = false;
 };
 
+/// What an upstream states about itself in the head of an answer.
+struct stated_exclusion
+{
+    /// It is shutting down.
+    bool leaving = false;
+    /// Time for which it asks for no requests; zero if it does not.
+    base::duration pause{};
+};
+
 /// Action: send the request to an upstream.
 struct start_attempt
 {
@@ -92,6 +102,16 @@
     model::endpoint at;
 };
 
+/// Action: log that an upstream gets no new requests because of the answer to an attempt.
+struct upstream_excluded
+{
+    base::upstream_id upstream;
+    base::attempt_id attempt;
+    exclusion_reason why = exclusion_reason::leaving;
+    /// Zero if the exclusion lasts for the rest of the upstream's lifetime.
+    base::duration lasts{};
+};
+
 /// Action: apply new limits on what callers may send.
 struct limits_changed
 {
@@ -127,8 +147,9 @@
     unsigned status = 0;
 };
 
-using director_action = std::variant<start_attempt, cancel_attempt, answer_error, upstream_retired,
-                                     limits_changed, newer_revision_seen, attempt_summary>;
+using director_action =
+    std::variant<start_attempt, cancel_attempt, answer_error, upstream_retired, upstream_excluded,
+                 limits_changed, newer_revision_seen, attempt_summary>;
 using director_actions = std::vector<director_action>;
 
 /// Identity and location of the entry that a `director` runs in.
@@ -157,6 +178,9 @@
     std::uint64_t over_budget = 0;
     std::uint64_t callers_gone = 0;
     std::uint64_t stale_configurations = 0;
+    /// Upstreams that stated that they are leaving, and pauses that upstreams asked for.
+    std::uint64_t leaving_upstreams = 0;
+    std::uint64_t upstream_pauses = 0;
 };
 
 /// Selects the upstream of each request of one entry, decides whether a request may be retried, and
@@ -179,6 +203,11 @@
     /// Handles a new request. Precondition: its id was not used before.
     void on_request(arrived_request const& it, base::time_point now, director_actions& out);
 
+    /// Applies what the attempt's upstream states about itself in an answer: it gets no new
+    /// requests for the rest of its lifetime, or until its pause ends.
+    void on_upstream_notice(base::attempt_id attempt, stated_exclusion const& stated,
+                            base::time_point now, director_actions& out);
+
     /// Handles the head of an answer; returns whether to forward the answer to the caller.
     bool on_attempt_head(base::attempt_id attempt, unsigned status, base::time_point now,
                          director_actions& out);
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -106,6 +106,11 @@
     double latency_goal_factor = 1.15;
     /// Retry delay given to callers whose requests are refused.
     base::duration retry_after = std::chrono::milliseconds(250);
+    /// Fraction by which the retry delays of callers are spread beyond the end of a pause of all
+    /// upstreams, so that not all callers return at the same time.
+    double pause_retry_spread = 0.5;
+    /// Fraction of a caller's remaining time up to which it observes a retry delay.
+    double max_retry_delay_fraction = 1.0 / 3;
     /// Retry delay given by a draining entry: the other entries can serve the request immediately.
     base::duration draining_retry_after = std::chrono::milliseconds(20);
 
--- a/src/include/fuchsiaproxy/steering/records.hpp
+++ b/src/include/fuchsiaproxy/steering/records.hpp
@@ -28,6 +28,8 @@
     /// Start time of the process, in Unix milliseconds; zero if unknown. It differs for an upstream
     /// that was restarted under the same id.
     std::uint64_t started_at_ms = 0;
+    /// Number of this report among those of the process; a lower one is older.
+    std::uint64_t sequence = 0;
     base::service_id service;
     model::endpoint at;
     base::availability_zone_id zone;
--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -14,6 +14,7 @@
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/http/fields.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
+#include "fuchsiaproxy/upstreams/notice.hpp"
 
 namespace fuchsiaproxy::upstreams
 {
@@ -133,6 +134,10 @@
 public:
     virtual ~attempt_events() = default;
 
+    /// The head of the attempt's own answer contains a notice of the upstream. Called before the
+    /// functions below, also for shed answers, and not for answers to other requests.
+    virtual void upstream_notified(base::attempt_id, upstream_notice const&) {}
+
     /// The head of the answer has arrived. Not called for shed answers.
     virtual void attempt_head(base::attempt_id attempt, answer_head const& head) = 0;
 
--- a/src/include/fuchsiaproxy/upstreams/client.hpp
+++ b/src/include/fuchsiaproxy/upstreams/client.hpp
@@ -57,6 +57,8 @@
     std::uint64_t broken = 0;
     /// Answers to an earlier request on their connection.
     std::uint64_t foreign_answers = 0;
+    /// Answers with an invalid notice of the upstream about itself.
+    std::uint64_t malformed_notices = 0;
     std::uint64_t timed_out = 0;
     /// Attempts that were not sent because their deadline had passed.
     std::uint64_t late = 0;
--- a/src/include/fuchsiaproxy/upstreams/dialect.hpp
+++ b/src/include/fuchsiaproxy/upstreams/dialect.hpp
@@ -9,6 +9,7 @@
 
 #include "fuchsiaproxy/base/load_report.hpp"
 #include "fuchsiaproxy/http/fields.hpp"
+#include "fuchsiaproxy/upstreams/notice.hpp"
 
 namespace fuchsiaproxy::upstreams
 {
@@ -44,6 +45,10 @@
     /// Returns whether a refusal states that the upstream accepts no further requests.
     virtual bool is_leaving(http::fields const& answer) const = 0;
 
+    /// Returns what the upstream states about itself in an answer with this status. Dialects
+    /// without such fields return an empty notice.
+    virtual upstream_notice notice(unsigned status, http::fields const& answer) const;
+
     /// Returns the load that the answer reports, if any.
     virtual std::optional<base::load_report> load(http::fields const& answer) const = 0;
 };
--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -46,6 +46,12 @@
     {
         return false;
     }
+    upstreams::upstream_notice notice(unsigned, http::fields const& answer) const override
+    {
+        upstreams::upstream_notice made;
+        made.leaving = answer.find("Leaving").has_value();
+        return made;
+    }
     std::optional<base::load_report> load(http::fields const&) const override
     {
         return base::load_report{3, 1, 4, 250};
@@ -210,6 +216,28 @@
     LONGS_EQUAL(std::size(flows), ended);
 }
 
+// Guards against a notice of the upstream that is missed or comes only with the end of a long
+// answer, and against one that is taken from an answer to another request.
+TEST(held_answers, a_notice_is_reported_with_the_head_of_the_attempts_own_answer)
+{
+    auto& peer = request("2");
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(path.until([&]() { return path.client.counters().foreign_answers == 1; }));
+    CHECK(path.events.notices.empty());
+    peer.send("HTTP/1.1 200 OK\r\nId: 2\r\nLeaving: 1\r\nContent-Length: 9\r\n\r\nhalf");
+    CHECK(path.until([&]() { return path.events.notices.size() == 1; }));
+    CHECK(path.events.notices[0].leaving);
+    CHECK(path.events.finished.empty());
+}
+
+TEST(held_answers, a_notice_in_a_refusal_is_reported_before_its_end)
+{
+    request("1").send("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nLeaving: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    LONGS_EQUAL(1, path.events.notices.size());
+}
+
 TEST(held_answers, a_refusal_is_reported_as_shed)
 {
     request("1").send("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -85,6 +85,11 @@
     }
 }
 
+void relay::impl::upstream_notified(attempt_id attempt, upstreams::upstream_notice const& notice)
+{
+    events_.upstream_notified(attempt, notice);
+}
+
 void relay::impl::attempt_head(attempt_id id, upstreams::answer_head const& head)
 {
     auto* const attempt = find(id);
--- a/src/relay/relay_fixture.hpp
+++ b/src/relay/relay_fixture.hpp
@@ -32,6 +32,10 @@
             on_request(head);
         }
     }
+    void upstream_notified(base::attempt_id, upstreams::upstream_notice const& notice) override
+    {
+        notices.push_back(notice);
+    }
     bool attempt_head(base::attempt_id attempt, unsigned status) override
     {
         heads.emplace_back(attempt, status);
@@ -52,6 +56,7 @@
     std::vector<callers::request_head> arrived;
     std::vector<std::pair<base::attempt_id, unsigned>> heads;
     std::vector<finished_attempt> finished;
+    std::vector<upstreams::upstream_notice> notices;
     std::vector<base::local_request_id> gone;
 };
 
--- a/src/relay/relay_impl.hpp
+++ b/src/relay/relay_impl.hpp
@@ -101,6 +101,8 @@
     void caller_gone(base::local_request_id request);
 
     // Events of attempts at upstreams.
+    void upstream_notified(base::attempt_id attempt,
+                           upstreams::upstream_notice const& notice) override;
     void attempt_head(base::attempt_id attempt, upstreams::answer_head const& head) override;
     void attempt_readable(base::attempt_id attempt) override;
     void attempt_finished(base::attempt_id attempt,
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -16,7 +16,8 @@
     : settings(it), self(std::move(identity)),
       removal_grace(settings.expiry_grace_period, settings.expiry_grace_limit),
       upstreams(self.zones, removal_grace), entries(self, removal_grace),
-      round_trips(settings, self), upstream_selector(settings, entries, round_trips, seed)
+      round_trips(settings, self), upstream_selector(settings, entries, round_trips, seed),
+      random(seed)
 {
 }
 
@@ -65,7 +66,8 @@
     auto const retryable = base::answer_for(kind).http_status == 503;
     counters.refused += retryable ? 1 : 0;
     auto const& request = it->second;
-    answer_error made{it->first, kind, retryable ? settings.retry_after : base::duration{}};
+    auto const delay = it->second.retry_after.value_or(settings.retry_after);
+    answer_error made{it->first, kind, retryable ? delay : base::duration{}};
     made.trace_id = request.trace_id;
     made.route = request.matched_route->name;
     made.version = request.config->version;
@@ -77,6 +79,31 @@
     erase_if_ended(it);
 }
 
+void director::state::end_without_upstream(request_map::iterator it, selection const& chosen,
+                                           base::time_point now, director_actions& out)
+{
+    auto const refused = !it->second.may_have_run;
+    if (refused && chosen.first_pause_end != base::time_point::max())
+    {
+        it->second.retry_after = delay_until(chosen.first_pause_end, it->second, now);
+    }
+    end_with_error(it, refused ? error_kind::no_upstream : error_kind::upstream_failed, out);
+}
+
+base::duration director::state::delay_until(base::time_point pause_end,
+                                            request_state const& request, base::time_point now)
+{
+    auto const least = std::max<base::duration>(pause_end - now, settings.retry_after);
+    auto const observed = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(request.deadline - now) * settings.max_retry_delay_fraction);
+    auto const spread = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(least) * settings.pause_retry_spread);
+    // A delay beyond the observed one would be of no use, so the spread ends there.
+    auto const most = std::max(least, std::min(least + spread, observed));
+    std::uniform_int_distribution<base::duration::rep> pick(least.count(), most.count());
+    return base::duration(pick(random));
+}
+
 void director::state::erase_if_ended(request_map::iterator it)
 {
     if (it->second.open_attempts.empty() && (it->second.answered || it->second.caller_gone))
@@ -139,8 +166,7 @@
     auto const chosen = choose(request, declared, now);
     if (!chosen.upstream)
     {
-        end_with_error(
-            it, request.may_have_run ? error_kind::upstream_failed : error_kind::no_upstream, out);
+        end_without_upstream(it, chosen, now, out);
         return;
     }
     if (!is_admitted(request, chosen, now))
@@ -248,6 +274,8 @@
     if (end.result == attempt_result::completed)
     {
         upstream.connect_failures = 0;
+        upstream.extend_ramp(
+            static_cast<std::uint32_t>(upstream.record.slots * settings.max_requests_per_slot));
     }
     upstream.failure_rate += ((failed ? 1 : 0) - upstream.failure_rate) * settings.failure_gain;
 }
@@ -338,6 +366,34 @@
     my.dispatch(my.requests.emplace(it.id, std::move(request)).first, now, out);
 }
 
+void director::on_upstream_notice(base::attempt_id attempt, stated_exclusion const& stated,
+                                  base::time_point now, director_actions& out)
+{
+    auto& my = *state_;
+    auto const found = my.attempts.find(attempt);
+    if (found == my.attempts.end())
+    {
+        return;
+    }
+    auto& upstream = *found->second.upstream;
+    if (stated.leaving && my.upstreams.mark_leaving(upstream))
+    {
+        ++my.counters.leaving_upstreams;
+        out.push_back(
+            upstream_excluded{upstream.record.id, attempt, exclusion_reason::leaving, {}});
+    }
+    if (stated.pause > base::duration{})
+    {
+        ++my.counters.upstream_pauses;
+        if (my.upstreams.pause(upstream, now + stated.pause))
+        {
+            out.push_back(upstream_excluded{upstream.record.id, attempt, exclusion_reason::paused,
+                                            stated.pause});
+        }
+    }
+    my.report_retired(out);
+}
+
 bool director::on_attempt_head(base::attempt_id attempt, unsigned status, base::time_point now,
                                director_actions& out)
 {
--- a/src/steering/director_state.hpp
+++ b/src/steering/director_state.hpp
@@ -2,6 +2,8 @@
 #define FUCHSIAPROXY_STEERING_DIRECTOR_STATE_HPP
 
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +45,8 @@
     /// From the last selection of an upstream.
     double service_load = 0;
     base::duration expected{};
+    /// Retry delay if the request is refused; unset for the usual one.
+    std::optional<base::duration> retry_after;
     bool may_have_run = false;
     bool answered = false;
     bool caller_gone = false;
@@ -83,6 +87,12 @@
     void start(request_map::iterator it, selection const& chosen, service const& declared,
                base::time_point now, director_actions& out);
     void end_with_error(request_map::iterator it, base::error_kind kind, director_actions& out);
+    /// Ends a request that no upstream may get, as refused unless it may have run.
+    void end_without_upstream(request_map::iterator it, selection const& chosen,
+                              base::time_point now, director_actions& out);
+    /// Returns the retry delay for a request that is refused because all upstreams are paused.
+    base::duration delay_until(base::time_point pause_end, request_state const& request,
+                               base::time_point now);
     void erase_if_ended(request_map::iterator it);
     void record_attempt_end(attempt_state const& it, attempt_end const& end, base::time_point now);
     void report_attempt(attempt_state& it, attempt_end const& end, base::time_point now,
@@ -118,6 +128,8 @@
     std::unordered_map<base::attempt_id, attempt_state> attempts;
     /// Time at which the process ends; the largest time unless it is draining.
     base::time_point ends_at = base::time_point::max();
+    /// Spreads retry delays.
+    std::mt19937_64 random;
     std::uint64_t last_attempt_id = 0;
     std::uint64_t load_sequence = 0;
     /// Latest control-plane revisions: that of this entry, and the highest one of other entries.
--- a/src/steering/director_test.cpp
+++ b/src/steering/director_test.cpp
@@ -60,6 +60,7 @@
 {
     upstream_record made;
     made.id = base::upstream_id(id);
+    made.started_at_ms = 3;
     made.service = base::service_id("s1");
     made.at = {"10.0.0." + id.substr(1), 80};
     made.zone = base::availability_zone_id(zone);
@@ -215,6 +216,172 @@
     CHECK(started().deadline <= end);
 }
 
+// Guards against requests to an upstream that has said in an answer that it is leaving, while
+// discovery still lists it as ready, lists it anew, or cannot be reached.
+TEST(director, an_upstream_that_states_that_it_is_leaving_gets_no_new_requests)
+{
+    configure();
+    list_upstreams({"u1", "u2"});
+    request("/read/a");
+    auto const which = started();
+    auto const leaving = which.upstream.value();
+    out.clear();
+    it.on_upstream_notice(which.attempt, {true, {}}, now, out);
+    CHECK(action<upstream_excluded>()->why == exclusion_reason::leaving);
+    CHECK(action<upstream_retired>() != nullptr);
+    it.on_attempt_head(which.attempt, 200, now, out);
+    finish(which, ended(attempt_result::completed, 200));
+    auto const gets_none = [&]
+    {
+        for (int n = 0; n < 20; ++n)
+        {
+            CHECK(complete_request("/read/a", std::to_string(n)) != leaving);
+        }
+    };
+    gets_none();
+    list_upstreams({"u1", "u2"});
+    gets_none();
+    send_event(store_lost{});
+    gets_none();
+    send_event(store_regained{now});
+    send_event(upstream_removed{which.upstream});
+    now += 10s;
+    it.tick(now, out);
+    send_event(upstream_removed{which.upstream});
+    send_event(upstream_changed{upstream(leaving)});
+    gets_none();
+    LONGS_EQUAL(1, it.counters().leaving_upstreams);
+    auto restarted = upstream(leaving);
+    restarted.started_at_ms = 7;
+    send_event(upstream_changed{restarted});
+    bool used = false;
+    for (int n = 0; n < 20; ++n)
+    {
+        used = used || complete_request("/read/a", std::to_string(n)) == leaving;
+    }
+    CHECK(used);
+}
+
+// Guards against a true refusal that is missing when all upstreams leave at once.
+TEST(director, requests_are_refused_when_all_upstreams_leave)
+{
+    configure();
+    list_upstreams({"u1"});
+    request("/order/a");
+    auto const which = started();
+    it.on_upstream_notice(which.attempt, {true, {}}, now, out);
+    request("/order/a");
+    CHECK(refused() == error_kind::no_upstream);
+}
+
+// Guards against an upstream that is used again because a report from before its draining is
+// written late, also after its record was removed.
+TEST(director, an_older_report_does_not_end_draining)
+{
+    configure();
+    list_upstreams({"u2"});
+    auto draining = upstream("u1");
+    draining.sequence = 8;
+    draining.draining = true;
+    auto older = upstream("u1");
+    older.sequence = 7;
+    send_event(upstream_changed{draining});
+    send_event(upstream_changed{older});
+    CHECK(complete_request("/read/a") == "u2");
+    send_event(upstream_removed{draining.id});
+    send_event(upstream_changed{older});
+    for (int n = 0; n < 20; ++n)
+    {
+        CHECK(complete_request("/read/a", std::to_string(n)) == "u2");
+    }
+}
+
+// Guards against requests to an upstream that has asked for a pause, and against all of them at
+// once when it ends. Pauses that overlap end with the latest.
+TEST(director, a_paused_upstream_gets_nothing_and_then_one_request)
+{
+    configure();
+    list_upstreams({"u1"});
+    request("/read/a");
+    auto const first = started();
+    request("/read/a");
+    auto const second = started();
+    it.on_upstream_notice(first.attempt, {false, 2s}, now, out);
+    finish(first, ended(attempt_result::shed, 503));
+    it.on_upstream_notice(second.attempt, {false, 1s}, now, out);
+    finish(second, ended(attempt_result::shed, 503));
+    auto const end = now + 2s;
+    for (; now < end; now += 100ms)
+    {
+        request("/read/a");
+        CHECK(refused() == error_kind::no_upstream);
+        CHECK(now + action<answer_error>()->retry_after >= end);
+    }
+    request("/read/a");
+    auto const probe = started();
+    request("/read/a");
+    CHECK(action<start_attempt>() == nullptr);
+    it.on_attempt_head(probe.attempt, 200, now, out);
+    finish(probe, ended(attempt_result::completed, 200));
+    request("/read/a");
+    CHECK(action<start_attempt>() != nullptr);
+    request("/read/a");
+    CHECK(action<start_attempt>() != nullptr);
+    request("/read/a");
+    CHECK(action<start_attempt>() == nullptr);
+    LONGS_EQUAL(2, it.counters().upstream_pauses);
+}
+
+// Guards against a pause that ends because the record changes or is listed anew, and against one
+// that outlives the upstream.
+TEST(director, a_pause_lasts_for_the_lifetime_of_its_upstream)
+{
+    configure();
+    list_upstreams({"u1"});
+    request("/read/a");
+    auto const which = started();
+    it.on_upstream_notice(which.attempt, {false, 10s}, now, out);
+    finish(which, ended(attempt_result::shed, 503));
+    send_event(upstream_changed{upstream("u1")});
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+    send_event(upstream_removed{which.upstream});
+    send_event(upstream_changed{upstream("u1")});
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+    auto restarted = upstream("u1");
+    restarted.started_at_ms = 7;
+    send_event(upstream_changed{restarted});
+    request("/read/a");
+    CHECK(action<start_attempt>() != nullptr);
+}
+
+// Guards against a retry budget that is spent on upstreams in a pause, and against callers that are
+// told to return all at the same moment.
+TEST(director, refusals_in_a_pause_cost_no_budget_and_spread_the_return)
+{
+    configure();
+    list_upstreams({"u1"});
+    request("/read/a");
+    auto const which = started();
+    it.on_upstream_notice(which.attempt, {false, 600ms}, now, out);
+    finish(which, ended(attempt_result::shed, 503));
+    auto const extra = it.counters().extra_attempts;
+    std::set<base::duration> delays;
+    for (int n = 0; n < 50; ++n)
+    {
+        request("/read/a", "o");
+        CHECK(refused() == error_kind::no_upstream);
+        auto const delay = action<answer_error>()->retry_after;
+        CHECK(delay >= 600ms);
+        CHECK(delay <= 900ms);
+        delays.insert(delay);
+    }
+    CHECK(delays.size() > 25);
+    LONGS_EQUAL(extra, it.counters().extra_attempts);
+    LONGS_EQUAL(0, it.counters().over_budget);
+}
+
 // Guards against a 404 for requests whose route is in a configuration that has not been read yet.
 TEST(director, requests_before_the_first_configuration_are_refused_as_not_ready)
 {
--- a/src/steering/selector.cpp
+++ b/src/steering/selector.cpp
@@ -53,7 +53,7 @@
 bool selector::is_eligible(upstream_state const& it, selection_query const& query,
                            base::time_point now) const
 {
-    if (!it.accepts_requests() || now < it.suspended_until)
+    if (it.excluded(now))
     {
         return false;
     }
@@ -61,6 +61,10 @@
     {
         return false; // Probe a failed upstream with one request at a time.
     }
+    if (it.ramp_limit > 0 && it.in_flight >= it.ramp_limit)
+    {
+        return false;
+    }
     if (!allows(*query.matched_route, it.region))
     {
         return false;
@@ -113,7 +117,7 @@
     double slots = 0;
     for (auto const& it : candidates)
     {
-        if (it->accepts_requests() && now >= it->suspended_until && !it->is_cold(now))
+        if (!it->excluded(now) && !it->is_cold(now))
         {
             load += it->in_flight + it->other_entries_load(now, settings_.report_decay_time);
             slots += it->record.slots;
@@ -164,12 +168,19 @@
         auto const& it = candidates[n];
         if (!is_eligible(*it, query, now))
         {
+            auto const why = it->excluded(now);
+            if (why && why->why == exclusion_reason::paused &&
+                allows(*query.matched_route, it->region))
+            {
+                best.first_pause_end = std::min(best.first_pause_end, why->until);
+            }
             continue;
         }
         auto const rank = ranks == nullptr ? 0 : (*ranks)[n];
-        auto const other = estimate(*it, query, rank, slot_price, now);
+        auto other = estimate(*it, query, rank, slot_price, now);
         if (best_index == candidates.size() || other.cost < best.cost)
         {
+            other.first_pause_end = best.first_pause_end;
             best = other;
             best_index = n;
         }
--- a/src/steering/selector.hpp
+++ b/src/steering/selector.hpp
@@ -45,6 +45,9 @@
     double cost = 0;
     /// Load per slot over the upstreams of the service.
     double service_load = 0;
+    /// Earliest end of a pause of the upstreams; the largest time if none is paused. Complete only
+    /// if no upstream was selected.
+    base::time_point first_pause_end = base::time_point::max();
 };
 
 /// Selects the upstream with the lowest cost, based on the expected time to the answer: round trip,
--- a/src/steering/upstream_state.hpp
+++ b/src/steering/upstream_state.hpp
@@ -9,6 +9,7 @@
 
 #include "fuchsiaproxy/base/load_report.hpp"
 #include "fuchsiaproxy/steering/director_settings.hpp"
+#include "fuchsiaproxy/steering/exclusion.hpp"
 #include "fuchsiaproxy/steering/peer_load.hpp"
 #include "fuchsiaproxy/steering/records.hpp"
 #include "hashing.hpp"
@@ -33,6 +34,13 @@
     /// entries have sent one.
     std::optional<std::uint32_t> peers_in_flight;
     bool evacuated = false;
+    /// Whether the upstream has stated in an answer that it is shutting down.
+    bool leaving = false;
+    /// End of the longest pause that the upstream has asked for.
+    base::time_point paused_until = base::time_point::min();
+    /// Maximum number of attempts in flight after a pause; doubles with each one that is not
+    /// refused. Zero means no limit.
+    std::uint32_t ramp_limit = 0;
     /// Whether discovery has removed the upstream, or its address is now used by another one.
     bool removed = false;
     /// When an expired record is removed; unset while the record is present.
@@ -57,10 +65,44 @@
     std::uint32_t connect_failures = 0;
     base::time_point suspended_until = base::time_point::min();
 
-    /// Returns whether discovery and operators allow new requests to the upstream.
+    /// Returns why the upstream gets no new requests, or nothing if it may get some.
+    std::optional<exclusion> excluded(base::time_point now) const
+    {
+        if (auto const why = lasting_exclusion())
+        {
+            return exclusion{*why};
+        }
+        if (now < paused_until)
+        {
+            return exclusion{exclusion_reason::paused, paused_until};
+        }
+        if (now < suspended_until)
+        {
+            return exclusion{exclusion_reason::unreachable, suspended_until};
+        }
+        return std::nullopt;
+    }
+
+    /// Returns whether discovery, operators and the upstream itself allow new requests, apart from
+    /// exclusions that end by themselves.
     bool accepts_requests() const
     {
-        return !removed && !record.draining && !evacuated;
+        return !lasting_exclusion();
+    }
+
+    /// Excludes the upstream until `until`, and limits the attempts in flight afterwards.
+    void pause(base::time_point until)
+    {
+        paused_until = std::max(paused_until, until);
+        ramp_limit = 1;
+    }
+
+    /// Raises the limit on attempts in flight after an attempt that was not refused. Above `most`
+    /// there is no limit.
+    void extend_ramp(std::uint32_t most)
+    {
+        ramp_limit *= 2;
+        ramp_limit = ramp_limit > most ? 0 : ramp_limit;
     }
 
     upstream_tag tag() const
@@ -122,6 +164,25 @@
         service_time_ratio = percent / 100.0;
         report_at = now;
     }
+
+private:
+    std::optional<exclusion_reason> lasting_exclusion() const
+    {
+        if (removed)
+        {
+            return exclusion_reason::removed;
+        }
+        if (record.draining)
+        {
+            return exclusion_reason::draining;
+        }
+        if (leaving)
+        {
+            return exclusion_reason::leaving;
+        }
+        return evacuated ? std::optional<exclusion_reason>(exclusion_reason::evacuated)
+                         : std::nullopt;
+    }
 };
 
 using upstream_ptr = std::shared_ptr<upstream_state>;
--- a/src/steering/upstream_table.cpp
+++ b/src/steering/upstream_table.cpp
@@ -59,6 +59,12 @@
         insert(it, now);
         return;
     }
+    auto const outdated = it.started_at_ms != 0 && known.record.draining && !it.draining &&
+                          it.sequence < known.record.sequence;
+    if (outdated)
+    {
+        return; // A write that was done late.
+    }
     auto const starts_to_drain = it.draining && !known.record.draining;
     ++generation_;
     known.record = it;
@@ -78,6 +84,7 @@
         static_cast<std::size_t>(std::distance(zones_.begin(), zones_.find(it.zone)));
     made->evacuated = evacuated_.count(it.zone) != 0;
     made->cold_until = now + it.remaining_warm_up;
+    departed_.restore(*made);
     all_.emplace(it.id, made);
     by_tag_[made->tag()] = made;
     by_service_[it.service].push_back(made);
@@ -89,6 +96,7 @@
     auto const known = it->second;
     ++generation_;
     known->removed = true;
+    departed_.store(*known);
     removals_due_.erase(it->first);
     auto& same_service = by_service_[known->record.service];
     same_service.erase(std::remove(same_service.begin(), same_service.end(), known),
@@ -121,6 +129,42 @@
     ++generation_;
 }
 
+template <class Change>
+void upstream_table::change_lifetime(upstream_state& it, Change change)
+{
+    change(it);
+    auto const found = all_.find(it.record.id);
+    if (found == all_.end())
+    {
+        departed_.store(it);
+        return;
+    }
+    auto& listed = *found->second;
+    if (&listed != &it && listed.record.started_at_ms == it.record.started_at_ms)
+    {
+        change(listed);
+    }
+}
+
+bool upstream_table::mark_leaving(upstream_state& it)
+{
+    if (it.leaving)
+    {
+        return false;
+    }
+    change_lifetime(it, [](upstream_state& one) { one.leaving = true; });
+    ++generation_;
+    retired_.push_back(it.record.at);
+    return true;
+}
+
+bool upstream_table::pause(upstream_state& it, base::time_point until)
+{
+    auto const longer = until > it.paused_until;
+    change_lifetime(it, [until](upstream_state& one) { one.pause(until); });
+    return longer;
+}
+
 void upstream_table::set_evacuated_zones(
     std::set<base::availability_zone_id> const& zones,
     std::unordered_map<base::service_id, service> const& services, base::time_point now)
--- a/src/steering/upstream_table.hpp
+++ b/src/steering/upstream_table.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lifetime_memory.hpp"
 #include "removal_grace_period.hpp"
 #include "upstream_state.hpp"
 
@@ -58,6 +59,13 @@
     /// Marks an upstream of this table as removed, because another one answers at its address.
     void mark_replaced(upstream_state& it);
 
+    /// Excludes an upstream for the rest of its lifetime, because it has stated that it is leaving.
+    /// Returns false if it was excluded so already.
+    bool mark_leaving(upstream_state& it);
+
+    /// Excludes an upstream until `until`. Returns false if it is paused for longer already.
+    bool pause(upstream_state& it, base::time_point until);
+
     bool empty() const;
 
     /// Returns the upstream with the given tag, or null.
@@ -81,6 +89,10 @@
     using map = std::unordered_map<base::upstream_id, upstream_ptr>;
 
     void erase(map::iterator it);
+    /// Applies `change` to the state of a lifetime: `it`, the state of its record if it has been
+    /// listed anew since, and what is remembered while it has none.
+    template <class Change>
+    void change_lifetime(upstream_state& it, Change change);
     void insert(upstream_record const& it, base::time_point now);
     base::region_id region_of(base::availability_zone_id const& zone) const;
 
@@ -93,6 +105,7 @@
     /// Records that are kept for a grace period.
     std::set<base::upstream_id> removals_due_;
     std::vector<model::endpoint> retired_;
+    lifetime_memory departed_;
     std::uint64_t generation_ = 0;
 };
 
--- a/src/upstreams/dialect.cpp
+++ b/src/upstreams/dialect.cpp
@@ -51,6 +51,11 @@
 
 } // namespace
 
+upstream_notice dialect::notice(unsigned, http::fields const&) const
+{
+    return {};
+}
+
 std::shared_ptr<dialect const> native_dialect()
 {
     return std::make_shared<native_dialect_impl>();
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -152,6 +152,11 @@
     report_.upstream_leaving = !head.keep_alive;
     report_.load = dialect.load(head.fields);
     link_->apply_keep_alive_timeout(head.fields);
+    if (auto const notice = dialect.notice(head.status, head.fields); notice.any())
+    {
+        context_->counters.malformed_notices += notice.malformed ? 1 : 0;
+        events_->upstream_notified(request_.id, notice);
+    }
     if (dialect.is_refusal(head.status, head.fields, request_.shed_statuses))
     {
         report_.upstream_leaving = report_.upstream_leaving || dialect.is_leaving(head.fields);
