Soak: upstreams that say that they leave, and that ask for pauses

Half of the upstreams that leave say so in their answers 4.5 s before their record does, and one request in a hundred is turned away with a pause. The checks count both rules from what callers and upstreams see. What an upstream states is drawn from a generator of its own, so that the faults of a seed stay the same.

--- a/tests/soak/soaking/checks.py
+++ b/tests/soak/soaking/checks.py
@@ -8,6 +8,9 @@
 MAX_LOOP_DELAY_S = 0.25
 # Longest time from the last byte of a request to its arrival at an upstream, on a busy machine.
 MAX_TRANSIT_S = 0.5
+# An upstream that asks for a pause may get this many requests of an entry later than this.
+MAX_IN_PAUSE = 2
+PAUSE_STARTS_AFTER_S = 0.5
 
 
 class Attempt:
@@ -37,6 +40,10 @@
         self.fault_windows = []
         self.loop_delays = collections.deque(maxlen=4000)
         self.cold_arrivals = collections.defaultdict(collections.deque)
+        # By entry and upstream: when the entry passed on that the upstream is leaving, and the
+        # pauses that the upstream asked for as [begin, end, arrivals].
+        self.leaving_since = {}
+        self.pauses = collections.defaultdict(list)
 
     def violation(self, promise, text):
         at = time.monotonic() - self.testbed.began
@@ -72,6 +79,8 @@
     def on_answer(self, attempt, answer):
         it = self.attempts[attempt]
         self.counts[f"answered {answer.status}"] += 1
+        if answer.field("server-leaving") and it.runs:
+            self.leaving_since.setdefault((it.entry.name, it.runs[-1]), time.monotonic())
         if answer.status < 300:
             seal = answer.field("x-response-seal")
             if (200, answer.body) != it.answers.get(seal):
@@ -140,6 +149,32 @@
             self.violation("ATTEMPTS", f"{attempt} reached {it.arrivals} upstreams")
         if now < upstream.cold_until:
             self.check_cold_arrival(upstream, now)
+        self.check_stated_exclusion(attempt, it, upstream, since, now)
+
+    def on_pause(self, attempt, upstream, seconds):
+        now = time.monotonic()
+        self.counts["pauses"] += 1
+        self.pauses[self.attempts[attempt].entry.name, upstream.id].append(
+            [now + PAUSE_STARTS_AFTER_S, now + seconds, 0])
+
+    def check_stated_exclusion(self, attempt, it, upstream, since, now):
+        """Checks what the upstream has stated to the entry, whatever the store says."""
+        key = (it.entry.name, upstream.id)
+        left = self.leaving_since.get(key)
+        if left and since > left + self.testbed.bounds["drain_s"] and \
+                not self.had_fault((it.entry.name,), left) and self.loop_was_on_time(left):
+            self.violation("DRAIN", f"{attempt} reached {upstream.id} {now - left:.2f} s after "
+                           f"{it.entry.name} passed on that it is leaving")
+        for pause in self.pauses[key]:
+            begin, end, _ = pause
+            if not begin < now < end:
+                continue
+            pause[2] += 1
+            asked_at = begin - PAUSE_STARTS_AFTER_S
+            if pause[2] > MAX_IN_PAUSE and not self.had_fault((it.entry.name,), asked_at) and \
+                    self.loop_was_on_time(asked_at):
+                self.violation("BUDGET", f"{attempt} is number {pause[2]} of {it.entry.name} at "
+                               f"{upstream.id} in its pause")
 
     def check_cold_arrival(self, upstream, now):
         recent = self.cold_arrivals[upstream.id]
--- a/tests/soak/soaking/faults.py
+++ b/tests/soak/soaking/faults.py
@@ -8,6 +8,8 @@
 # Upstreams keep serving this long after the removal of their record, as on the platform.
 SERVES_AFTER_REMOVAL_S = 6.0
 ADDRESS_REUSE_S = 2.0
+# Time for which some upstreams say in their answers only that they are leaving.
+LEAVING_UNRECORDED_S = 4.5
 # Probability with which each upstream is affected by a fault that impairs upstreams.
 IMPAIRED_SHARE = 0.4
 
@@ -217,6 +219,9 @@
         it = self.upstream(rng)
         if it is None:
             return
+        it.leaving = True
+        if it.random.random() < 0.5:
+            await asyncio.sleep(LEAVING_UNRECORDED_S)
         if rng.random() < 0.5:
             await it.drain()
             await asyncio.sleep(SERVES_AFTER_REMOVAL_S)
--- a/tests/soak/soaking/upstreams.py
+++ b/tests/soak/soaking/upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import hashlib
+import random
 import time
 
 from . import http1
@@ -12,6 +13,10 @@
 WARM_WORK_S = 0.02
 COLD_OBJECT_WORK_S = 0.06
 MAX_CACHED_OBJECTS = 40
+# Share of the requests that an upstream turns away with a pause, though it may have free slots, and
+# the length of the pause.
+PAUSING_SHARE = 0.01
+PAUSE_S = (0.8, 2.5)
 
 
 def seal_of(attempt, upstream, body):
@@ -47,6 +52,11 @@
         # Time at which the store confirmed the drain or removal; a fault that crashes the upstream
         # sets it itself.
         self.left_at = None
+        # The upstream says in its answers that it is leaving.
+        self.leaving = False
+        # For what the upstream states in its answers; separate, so that the faults of a seed stay
+        # the same.
+        self.random = random.Random(identity)
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
@@ -102,8 +112,10 @@
             writer.write(http1.answer_bytes(421, [("X-Instance-Id", self.id), ("X-Not-Executed", "1")]))
             return True
         self.testbed.checks.on_arrival(attempt, self, call)
-        if self.running >= self.slots and self.waiting >= MAX_QUEUED:
-            writer.write(http1.answer_bytes(503, self.load_field() + [("X-Not-Executed", "1")]))
+        pause = self.pause_field(attempt)
+        if pause or (self.running >= self.slots and self.waiting >= MAX_QUEUED):
+            writer.write(http1.answer_bytes(503, self.status_fields() + [("X-Not-Executed", "1")]
+                                            + pause))
             return True
         deadline = time.monotonic() + int(call.field("x-deadline-ms", "10000")) / 1000
         async with self.free_slot:
@@ -115,7 +127,7 @@
             self.running += 1
         try:
             if time.monotonic() >= deadline or writer.transport.is_closing():
-                writer.write(http1.answer_bytes(503, [("X-Not-Executed", "1")]))
+                writer.write(http1.answer_bytes(503, self.leaving_field() + [("X-Not-Executed", "1")]))
                 return True
             return await self.run(attempt, call, deadline, writer)
         finally:
@@ -127,19 +139,19 @@
         self.testbed.checks.on_execution(attempt, self, call)
         work_s = min(self.work_s(call), max(0.0, deadline - time.monotonic()))
         await asyncio.sleep(work_s)
-        random = self.testbed.random
-        status = 504 if time.monotonic() >= deadline else 500 if random.random() < self.failing else 200
+        rng = self.testbed.random
+        status = 504 if time.monotonic() >= deadline else 500 if rng.random() < self.failing else 200
         if writer in self.stale:
             writer.write(self.stale.pop(writer))
-        body = (f"{attempt} {call.method} {call.target} " + "x" * random.randint(0, 3000)).encode()
+        body = (f"{attempt} {call.method} {call.target} " + "x" * rng.randint(0, 3000)).encode()
         seal = seal_of(attempt, self.id, body)
         self.testbed.checks.on_upstream_answer(attempt, status, seal, body)
-        fields = [("X-Attempt-Id", attempt), ("X-Response-Seal", seal)] + self.load_field()
+        fields = [("X-Attempt-Id", attempt), ("X-Response-Seal", seal)] + self.status_fields()
         made = http1.answer_bytes(status, fields, body)
-        if random.random() < self.lost_answers:
+        if rng.random() < self.lost_answers:
             http1.abort(writer)
             return False
-        if random.random() < self.garbled:
+        if rng.random() < self.garbled:
             return await self.garble(made, writer)
         writer.write(made)
         await writer.drain()
@@ -161,8 +173,19 @@
             self.stale[writer] = made
         return kind in ("extra", "stale")
 
-    def load_field(self):
-        return [("X-Server-Load", f"{self.running},{self.waiting},{self.slots},100")]
+    def status_fields(self):
+        load = f"{self.running},{self.waiting},{self.slots},100"
+        return [("X-Server-Load", load)] + self.leaving_field()
+
+    def leaving_field(self):
+        return [("Server-Leaving", "1")] if self.leaving or self.left_at else []
+
+    def pause_field(self, attempt):
+        if self.random.random() >= PAUSING_SHARE:
+            return []
+        seconds = round(self.random.uniform(*PAUSE_S), 3)
+        self.testbed.checks.on_pause(attempt, self, seconds)
+        return [("Retry-After", str(seconds))]
 
     def work_s(self, call):
         key = call.field("cookie", "")
