Log how a refusal was attributed, and failed bodies

A refusal that named its request and one that was assumed to be its own had the same line, and an answer to a failed body had none.

Ruled out: nothing; no logic changes here.

Change: attempt_failed lines have the field refusal (identified, first_answer, position); two counters of refusals without an id; event body_failed; explain reads both. Test: telemetry_test.request_history.

--- a/src/gateway/entry_metrics.cpp
+++ b/src/gateway/entry_metrics.cpp
@@ -96,6 +96,12 @@
                    upstreams.broken);
     to.set_counter("fuchsiaproxy_entry_foreign_answers_total",
                    "Answers that belonged to an earlier request.", upstreams.foreign_answers);
+    to.set_counter("fuchsiaproxy_entry_refusals_as_first_answer_total",
+                   "Refusals that did not identify their request, on new connections.",
+                   upstreams.refusals_as_first_answer);
+    to.set_counter("fuchsiaproxy_entry_refusals_by_position_total",
+                   "Refusals that did not identify their request, on connections used before.",
+                   upstreams.refusals_by_position);
     to.set_counter("fuchsiaproxy_entry_malformed_notices_total",
                    "Answers with an invalid notice of the upstream about itself.",
                    upstreams.malformed_notices);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,6 +168,7 @@
     steering::attempt_end end;
     end.result = report.result;
     end.status = report.status;
+    end.refusal = report.refusal;
     end.sent = report.bytes_sent > 0;
     end.connect_time = report.connect_time;
     end.load = report.load;
@@ -179,6 +180,17 @@
     schedule_tick();
 }
 
+void gateway::body_failed(callers::request_head const& head, base::error_kind kind, unsigned status,
+                          base::request_outcome outcome)
+{
+    log_("body_failed",
+         {{"request",
+           std::string(head.fields.find(settings_.fields.request_id).value_or(std::string_view()))},
+          {"error", std::string(base::name_of(kind))},
+          {"status", std::to_string(status)},
+          {"outcome", std::string(base::name_of(outcome))}});
+}
+
 void gateway::caller_gone(base::local_request_id request)
 {
     steering::director_actions out;
@@ -282,6 +294,7 @@
           {"others_in_flight", rounded_text(it.other_entries_load)},
           {"report_age_ms", it.report_age ? ms_text(*it.report_age) : "none"},
           {"result", std::string(base::name_of(it.result))},
+          {"refusal", std::string(base::name_of(it.refusal))},
           {"status", std::to_string(it.status)}});
 }
 
--- a/src/include/fuchsiaproxy/relay/relay.hpp
+++ b/src/include/fuchsiaproxy/relay/relay.hpp
@@ -45,6 +45,13 @@
     virtual void attempt_finished(base::attempt_id attempt,
                                   upstreams::attempt_report const& report) = 0;
 
+    /// The body of a request has failed with `kind`, and the relay answers it with `status` and
+    /// `outcome`. Called before `caller_gone`.
+    virtual void body_failed(callers::request_head const&, base::error_kind kind, unsigned status,
+                             base::request_outcome outcome)
+    {
+    }
+
     /// The caller has disconnected, or its request body has failed, so the request needs no answer.
     /// Unanswered attempts that have the whole body continue until they are cancelled.
     virtual void caller_gone(base::local_request_id request) = 0;
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -14,6 +14,7 @@
 #include "fuchsiaproxy/base/error.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/load_report.hpp"
+#include "fuchsiaproxy/base/refusal_attribution.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
 #include "fuchsiaproxy/steering/director_settings.hpp"
@@ -45,6 +46,7 @@
     base::attempt_result result = base::attempt_result::not_sent;
     /// HTTP status of the answer, or 0 if no head arrived.
     unsigned status = 0;
+    base::refusal_attribution refusal = base::refusal_attribution::none;
     bool sent = false;
     /// Time taken to connect, if a new connection was made.
     std::optional<base::duration> connect_time;
@@ -145,6 +147,7 @@
     std::optional<base::duration> report_age;
     base::attempt_result result = base::attempt_result::not_sent;
     unsigned status = 0;
+    base::refusal_attribution refusal = base::refusal_attribution::none;
 };
 
 using director_action =
--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -11,6 +11,7 @@
 #include "fuchsiaproxy/base/attempt_result.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/load_report.hpp"
+#include "fuchsiaproxy/base/refusal_attribution.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/http/fields.hpp"
 #include "fuchsiaproxy/model/configuration.hpp"
@@ -78,6 +79,7 @@
     base::attempt_result result = base::attempt_result::not_sent;
     /// Status of the answer, or 0 if no head arrived.
     unsigned status = 0;
+    base::refusal_attribution refusal = base::refusal_attribution::none;
     std::uint64_t bytes_sent = 0;
     /// Bytes of the answer's body.
     std::uint64_t bytes_received = 0;
--- a/src/include/fuchsiaproxy/upstreams/client.hpp
+++ b/src/include/fuchsiaproxy/upstreams/client.hpp
@@ -57,6 +57,9 @@
     std::uint64_t broken = 0;
     /// Answers to an earlier request on their connection.
     std::uint64_t foreign_answers = 0;
+    /// Refusals that did not identify their request, on new connections and on others.
+    std::uint64_t refusals_as_first_answer = 0;
+    std::uint64_t refusals_by_position = 0;
     /// Answers with an invalid notice of the upstream about itself.
     std::uint64_t malformed_notices = 0;
     std::uint64_t timed_out = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -191,6 +191,10 @@
     auto const outcome = announced ? base::request_outcome::may_have_run : row.outcome;
     auto const exchange = std::exchange(request->exchange, nullptr);
     cancel_all(*request, attempt_id{});
+    if (!request->answered)
+    {
+        events_.body_failed(exchange->head(), request->body.error(), row.http_status, outcome);
+    }
     if (std::exchange(request->answered, true))
     {
         exchange->abort();
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -290,6 +290,7 @@
     explanation.took = now - it.started;
     explanation.result = end.result;
     explanation.status = end.status;
+    explanation.refusal = end.refusal;
     out.push_back(std::move(explanation));
 }
 
--- a/src/telemetry/request_history.cpp
+++ b/src/telemetry/request_history.cpp
@@ -90,6 +90,12 @@
     auto result = "attempt " + it.at("attempt") + " at " + it.at("upstream") + ", rank " +
                   it.at("rank") + ": " + it.at("result") + " after " + it.at("took_ms") + " ms, " +
                   it.at("expected_ms") + " ms expected";
+    if (it.at("refusal") == "first_answer" || it.at("refusal") == "position")
+    {
+        result += "; the refusal did not identify the request and was attributed by " +
+                  std::string(it.at("refusal") == "position" ? "its position on the connection"
+                                                             : "being the first on its connection");
+    }
     auto const removal = std::find_if(context.begin(), context.end(),
                                       [&](log_record const& one)
                                       {
@@ -105,6 +111,20 @@
     return result;
 }
 
+std::string cause_of(log_record const& it, std::vector<log_record> const& context)
+{
+    if (it.event == "request_failed")
+    {
+        return cause_of_failure(it);
+    }
+    if (it.event == "body_failed")
+    {
+        return "the body of the request failed (" + it.at("error") + "): answered " +
+               it.at("status") + ", outcome " + it.at("outcome");
+    }
+    return cause_of_attempt(it, context);
+}
+
 /// Returns the last word of the prefix that a log collector put before a line, or `fallback`.
 std::string source_of(std::string const& prefix, std::string const& fallback)
 {
@@ -209,9 +229,7 @@
     sort_by_time(result.context);
     for (auto const& it : result.request_lines)
     {
-        result.causes.push_back(it.event == "request_failed"
-                                    ? cause_of_failure(it)
-                                    : cause_of_attempt(it, result.context));
+        result.causes.push_back(cause_of(it, result.context));
     }
     return result;
 }
--- a/src/telemetry/request_history_test.cpp
+++ b/src/telemetry/request_history_test.cpp
@@ -15,6 +15,8 @@
 {"time_ms":1500,"level":"info","event":"attempt_failed","request":"a1","attempt":"7","upstream":"u3","rank":"0","expected_ms":"150","took_ms":"12","result":"broken"}
 {"time_ms":1501,"level":"info","event":"request_failed","request":"a1","error":"upstream_failed","status":"502","attempts":"1","configuration":"4"}
 {"time_ms":1600,"level":"info","event":"request_failed","request":"a2","error":"overloaded","status":"503","attempts":"0","service_load":"0.97","expected_ms":"915"}
+{"time_ms":1700,"level":"info","event":"attempt_failed","request":"a4","attempt":"8","upstream":"u5","rank":"0","expected_ms":"150","took_ms":"2","result":"refused","refusal":"position"}
+{"time_ms":1800,"level":"info","event":"body_failed","request":"a5","error":"request_timeout","status":"408","outcome":"may-have-run"}
 {"time_ms":2300,"level":"info","event":"upstream_removed","upstream":"u3"}
 {"time_ms":2300,"level":"info","event":"upstream_removed","upstream":"u4"}
 {"time_ms":90000,"level":"info","event":"store_regained"}
@@ -40,6 +42,16 @@
     STRCMP_CONTAINS("may have run", it.causes[1].c_str());
 }
 
+// Guards against a request that ran although it was refused, and whose lines do not tell a refusal
+// that was its own from one that was assumed to be, or show no answer at all.
+TEST(request_history, doubtful_refusals_and_failed_bodies_are_explained)
+{
+    STRCMP_CONTAINS("attributed by its position", history_of("a4").causes.at(0).c_str());
+    auto const cause = history_of("a5").causes.at(0);
+    STRCMP_CONTAINS("answered 408", cause.c_str());
+    STRCMP_CONTAINS("may-have-run", cause.c_str());
+}
+
 // Guards against a context that contains every state change in the log instead of only those within
 // a few seconds of the request.
 TEST(request_history, only_changes_near_the_request_are_shown)
--- a/src/upstreams/running_attempt.hpp
+++ b/src/upstreams/running_attempt.hpp
@@ -72,6 +72,7 @@
     void read_answer_head();
     bool accept_head(http::message_head& head);
     bool starts_foreign_answer(http::message_head const& head);
+    base::refusal_attribution attribute_refusal(http::fields const& answer);
     void skip_foreign_answer();
     bool answer_done() const;
     void finish_shed();
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -159,6 +159,7 @@
     }
     if (dialect.is_refusal(head.status, head.fields, request_.shed_statuses))
     {
+        report_.refusal = attribute_refusal(head.fields);
         report_.upstream_leaving = report_.upstream_leaving || dialect.is_leaving(head.fields);
         finish_shed();
         return true;
@@ -169,6 +170,22 @@
     return true;
 }
 
+/// Returns why a refusal is taken for the answer to this request, and counts the doubtful ones.
+base::refusal_attribution running_attempt::attribute_refusal(http::fields const& answer)
+{
+    if (!context_->settings.upstream_dialect->is_ambiguous(answer))
+    {
+        return base::refusal_attribution::identified;
+    }
+    if (link_->pooled || had_foreign_answer_)
+    {
+        ++context_->counters.refusals_by_position;
+        return base::refusal_attribution::position;
+    }
+    ++context_->counters.refusals_as_first_answer;
+    return base::refusal_attribution::first_answer;
+}
+
 /// Ends a shed attempt. The connection returns to the pool if the answer has arrived completely.
 void running_attempt::finish_shed()
 {
