--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -256,3 +256,68 @@
     CHECK(path.events.finished[0].report.result == attempt_result::shed);
     LONGS_EQUAL(0, path.client.connections());
 }
+
+TEST_GROUP(refusals_of_orders)
+{
+    data_path path{id_echo_settings(), {}, buffer_limit};
+    raw_peer caller{path.io, path.port};
+    bool idempotent = false;
+    static constexpr char const* refusal =
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+    /// Sends a request with an id and waits until the upstream has received it.
+    raw_peer& request(std::string const& id)
+    {
+        path.events.on_request = [this](callers::request_head const& head)
+        { path.attempt(head.id, path.upstream.at(), idempotent); };
+        caller.send(get("/a", "Id: " + id + "\r\n"));
+        CHECK(path.until(
+            [&]() {
+                return !path.upstream.peers.empty() &&
+                       path.upstream.peers.back()->has("Id: " + id + "\r\n");
+            }));
+        return *path.upstream.peers.back();
+    }
+    attempt_result result_of(std::size_t attempt)
+    {
+        CHECK(path.until([&]() { return path.events.finished.size() == attempt; }));
+        return path.events.finished[attempt - 1].report.result;
+    }
+};
+
+// Guards against an order that runs twice, or runs and is answered as not run: a refusal that its
+// upstream sent for no request, behind answers that named theirs, was taken for the order's own.
+TEST(refusals_of_orders, one_without_an_id_behind_other_answers_is_doubtful)
+{
+    request("1").send(answer_to("1", "done"));
+    CHECK(result_of(1) == attempt_result::completed);
+    auto& peer = request("2");
+    LONGS_EQUAL(1, path.upstream.peers.size());
+    peer.send(refusal);
+    CHECK(result_of(2) != attempt_result::shed);
+    LONGS_EQUAL(1, path.client.counters().refusals_by_position);
+    LONGS_EQUAL(0, path.client.connections());
+}
+
+TEST(refusals_of_orders, one_without_an_id_behind_a_skipped_answer_is_doubtful)
+{
+    request("2").send(answer_to("1", "stale") + refusal);
+    CHECK(result_of(1) != attempt_result::shed);
+}
+
+// Guards against an order that is failed although nothing else can have been refused.
+TEST(refusals_of_orders, one_without_an_id_on_a_new_connection_is_certain)
+{
+    request("1").send(refusal);
+    CHECK(result_of(1) == attempt_result::shed);
+    LONGS_EQUAL(1, path.client.counters().refusals_as_first_answer);
+}
+
+TEST(refusals_of_orders, a_request_that_may_run_twice_is_refused_either_way)
+{
+    idempotent = true;
+    request("1").send(answer_to("1", "done"));
+    CHECK(result_of(1) == attempt_result::completed);
+    request("2").send(refusal);
+    CHECK(result_of(2) == attempt_result::shed);
+}
--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -536,3 +536,78 @@
     CHECK(caller.has("Connection: close\r\n"));
     CHECK(caller.has("helloworld"));
 }
+
+TEST_GROUP(failed_bodies)
+{
+    data_path path;
+    raw_peer caller{path.io, path.port};
+    base::local_request_id request{1};
+
+    /// Sends the head and the buffered part of a long body, so that the request can be attempted.
+    void begin_upload()
+    {
+        caller.send("POST /orders HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" +
+                    std::string(max_buffered_body_bytes_in_test, 'a'));
+        CHECK(path.until([&]() { return path.events.arrived.size() == 1; }));
+    }
+    /// Sends a little more, and lets the time limit of the body pass.
+    void stall_body()
+    {
+        caller.send("a");
+        testing::run_ready(path.io);
+        path.timers.advance(callers::server_settings{}.body_idle_limit +
+                            std::chrono::milliseconds(1));
+        CHECK(path.until([&]() { return caller.ended(); }));
+    }
+    void check_promises_nothing()
+    {
+        for (auto const* const it : {" 408 ", " 421 ", " 429 ", " 503 ", "not-run"})
+        {
+            CHECK_TRUE_TEXT(!caller.has(it), caller.text().c_str());
+        }
+        CHECK(caller.has("Request-Outcome: may-have-run\r\n"));
+    }
+};
+
+// Guards against an order that runs and is answered 408: its upstream began at the head, and the
+// caller did not send the rest.
+TEST(failed_bodies, a_body_that_stalls_after_a_part_was_sent_is_not_answered_as_not_run)
+{
+    path.events.on_request = [this](callers::request_head const& head)
+    {
+        attempt_parameters order;
+        order.request = head.id;
+        order.attempt = base::attempt_id(1);
+        order.at = path.upstream.at();
+        order.deadline = path.timers.now() + std::chrono::hours(1);
+        path.request_relay.start_attempt(order);
+    };
+    begin_upload();
+    wait_for_peer(path, path.upstream, 0, std::string(1000, 'a'));
+    stall_body();
+    check_promises_nothing();
+    CHECK(path.until([&]() { return path.request_relay.requests() == 0; }));
+    LONGS_EQUAL(1, path.events.gone.size());
+}
+
+// Guards against a request that ran at one upstream and is answered 408 because its body failed
+// before the next attempt.
+TEST(failed_bodies, an_earlier_attempt_that_may_have_run_is_remembered)
+{
+    begin_upload();
+    path.attempt(request, path.upstream.at());
+    wait_for_peer(path, path.upstream, 0, "\r\n\r\n").close();
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    stall_body();
+    check_promises_nothing();
+}
+
+// Guards against a caller that is not told that it may send its request again.
+TEST(failed_bodies, a_body_that_stalls_before_anything_was_sent_is_answered_as_not_run)
+{
+    caller.send("POST /orders HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\na");
+    CHECK(path.until([&]() { return path.server.exchanges() == 1; }));
+    stall_body();
+    CHECK(caller.has("HTTP/1.1 408 "));
+    CHECK(caller.has("Request-Outcome: not-run\r\n"));
+}
--- a/tests/soak/soaking/callers.py
+++ b/tests/soak/soaking/callers.py
@@ -11,6 +11,11 @@
 OBJECT_COUNT = 60
 # An entry may answer this long after the time limit.
 ANSWER_SLACK_S = 0.5
+# Sizes of an upload: stated, and sent before the caller stops to send. An entry buffers less than
+# the second before it sends the request on.
+UPLOAD_BYTES = 300_000
+UPLOAD_SENT_BYTES = 150_000
+UPLOAD_PAUSE_S = 1.0
 
 
 class Caller:
@@ -147,3 +152,38 @@
             self.writer.close()
         self.writer = None
         self.reader = None
+
+
+class Uploader(Caller):
+    """A caller whose requests stop in mid body, so that entries fail them after a part was sent."""
+
+    async def run(self):
+        try:
+            while not self.testbed.ended:
+                await asyncio.sleep(UPLOAD_PAUSE_S)
+                if await self.connect():
+                    await self.upload()
+                self.close()
+        finally:
+            self.close()
+
+    async def upload(self):
+        self.sent += 1
+        route = self.testbed.upload_route
+        attempt = f"{self.name}-{self.sent}"
+        target = f"{route.prefix}{self.sent}"
+        head = http1.request_bytes("PUT", target, [
+            ("Host", route.host), ("X-Attempt-Id", attempt),
+            ("X-Deadline-Ms", str(int(route.time_limit_s * 1000))),
+            ("Content-Length", str(UPLOAD_BYTES))])
+        checks = self.testbed.checks
+        checks.on_sent(attempt, route, self.entry, target, b"")
+        try:
+            self.writer.write(head + b"x" * UPLOAD_SENT_BYTES)
+            answer = await http1.read_message(self.reader, is_answer=True)
+        except http1.CONNECTION_ERRORS:
+            answer = None
+        if answer is None:
+            checks.counts["uploads cut"] += 1
+            return
+        checks.on_answer(attempt, answer)
--- a/tests/soak/soaking/faults.py
+++ b/tests/soak/soaking/faults.py
@@ -35,14 +35,25 @@
                 self.upstream_fails, self.upstream_unresponsive, self.upstream_joins, self.route_moves,
                 self.route_moves, self.time_limit_changes, self.evacuate, self.evacuate]
 
+    def answer_kinds(self):
+        """Faults of answers. They have a sequence of their own, so that a seed still draws the same
+        faults of the other kinds."""
+        return [self.upstream_repeats, self.upstream_fails_unmarked, self.upstream_answers_unasked]
+
     async def run(self, seconds):
+        await asyncio.gather(self.inject(seconds, self.kinds(), self.seed),
+                             self.inject(seconds, self.answer_kinds(), f"{self.seed} answers"))
+
+    async def inject(self, seconds, kinds, seed):
         end = time.monotonic() + seconds
-        rng = random.Random(self.seed)
+        rng = random.Random(seed)
+        injected = 0
         while time.monotonic() < end:
-            kind = rng.choice(self.kinds())
+            injected += 1
+            kind = rng.choice(kinds)
             self.log.append(f"{time.monotonic() - self.testbed.began:.2f} s {kind.__name__}")
             # Each fault has its own generator, so that its choices are independent of other faults.
-            self.testbed.start_task(kind(random.Random(f"{self.seed} {len(self.log)}")))
+            self.testbed.start_task(kind(random.Random(f"{seed} {injected}")))
             await asyncio.sleep(rng.uniform(0.2, 2.0))
 
     @staticmethod
@@ -248,6 +259,9 @@
     async def impair(self, rng, name, value, usual):
         seconds = self.duration(rng)
         self.checks.add_fault("upstreams", seconds + 2)
+        await self.vary(rng, seconds, name, value, usual)
+
+    async def vary(self, rng, seconds, name, value, usual):
         impaired = [it for it in self.testbed.upstreams if rng.random() < IMPAIRED_SHARE]
         for it in impaired:
             setattr(it, name, value)
@@ -267,6 +281,15 @@
     async def upstream_fails(self, rng):
         await self.impair(rng, "failing", 0.5, 0.0)
 
+    async def upstream_repeats(self, rng):
+        await self.vary(rng, self.duration(rng), "repeated", 0.3, 0.0)
+
+    async def upstream_fails_unmarked(self, rng):
+        await self.vary(rng, self.duration(rng), "unmarked", 0.3, 0.0)
+
+    async def upstream_answers_unasked(self, rng):
+        await self.vary(rng, self.duration(rng), "unasked", 0.3, 0.0)
+
     async def upstream_unresponsive(self, rng):
         it = self.upstream(rng)
         if it is None:
--- a/tests/soak/soaking/http1.py
+++ b/tests/soak/soaking/http1.py
@@ -37,6 +37,14 @@
 
 async def read_message(reader, is_answer=False):
     """Returns the next message, or None if the connection ends before its first byte."""
+    made = await read_head(reader, is_answer)
+    if made is not None:
+        made.body = await read_body(reader, made.fields, is_answer)
+    return made
+
+
+async def read_head(reader, is_answer=False):
+    """Returns the next message without its body, or None as `read_message` does."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError as error:
@@ -52,9 +60,7 @@
         name, colon, value = line.partition(":")
         if colon:
             fields[name.strip().lower()] = value.strip()
-    made = Message(first, fields)
-    made.body = await read_body(reader, fields, is_answer)
-    return made
+    return Message(first, fields)
 
 
 async def read_body(reader, fields, is_answer):
--- a/tests/soak/soaking/testbed.py
+++ b/tests/soak/soaking/testbed.py
@@ -7,15 +7,17 @@
 import signal
 import time
 
-from .callers import Caller
+from .callers import Caller, Uploader
 from .checks import Checks
 from .proxy import Proxy
 from .store import Store
-from .upstreams import Upstream
+from .upstreams import UPLOADS, Upstream
 
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
 UPSTREAMS_PER_ZONE = {"browse": 2, "orders": 2}
 CALLERS_PER_ZONE = 8
+# Longer than an entry waits for more of a body.
+UPLOAD_LIMIT_S = 20.0
 HOST = "soak.example"
 # Bounds of the platform; some are written to the settings of the entries.
 BOUNDS = {"stability_s": 3.0, "drain_s": 2.5, "evacuation_s": 5.0, "config_apply_s": 2.5,
@@ -140,6 +142,8 @@
         self.next_upstream = 1
         self.routes = [Route("r-browse", "/browse/", True, "browse", 2.0),
                        Route("r-orders", "/orders/", False, "orders", 2.5)]
+        # Not among the routes that faults change.
+        self.upload_route = Route("r-uploads", UPLOADS, False, "orders", UPLOAD_LIMIT_S)
         self.entries = [Entry(self, zone, number) for number, zone in
                         enumerate(zone for zone in ZONES for _ in range(entries_per_zone))]
         self.by_address = {"%s:%d" % it.callers: it for it in self.entries}
@@ -162,6 +166,7 @@
         for zone in ZONES:
             for number in range(CALLERS_PER_ZONE):
                 self.start_task(Caller(self, zone, number).run())
+            self.start_task(Uploader(self, zone, "upload").run())
 
     def start_task(self, work):
         task = asyncio.create_task(work)
@@ -195,7 +200,7 @@
                     for name in UPSTREAMS_PER_ZONE]
         await self.store.write("op/config", {
             "config_version": f"{self.version:08x}",
-            "routes": {"columns": columns, "rows": [it.row() for it in self.routes]},
+            "routes": {"columns": columns, "rows": [it.row() for it in self.routes + [self.upload_route]]},
             "services": {"columns": ["name", "health_path", "max_conns", "protocol", "tls",
                                      "cold_start_s", "cold_per_s"], "rows": services},
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
--- a/tests/soak/soaking/upstreams.py
+++ b/tests/soak/soaking/upstreams.py
@@ -17,6 +17,17 @@
 # the length of the pause.
 PAUSING_SHARE = 0.01
 PAUSE_S = (0.8, 2.5)
+# Share of the refusals that do not name their request.
+UNNAMED_SHARE = 0.5
+# Delays after which an answer is repeated, or a refusal that nobody asked for is sent.
+REPEATED_AFTER_S = (0.001, 0.03, 0.2)
+UNASKED_AFTER_S = 0.12
+# Statuses with which an upstream fails a request that it has run, without saying that it has not.
+UNMARKED_STATUSES = (408, 429, 503)
+
+
+# Prefix of the requests whose bodies their callers do not finish.
+UPLOADS = "/uploads/"
 
 
 def seal_of(attempt, upstream, body):
@@ -25,7 +36,9 @@
 
 class Upstream:
     """Stand-in for one upstream process. `lost_answers`, `garbled` and `failing` are the shares of
-    answers with that fault; `slow_by` multiplies the work time."""
+    answers with that fault, `repeated` that of answers and refusals that are sent twice, `unmarked`
+    that of runs that end with the status of a refusal, and `unasked` that of answers that are
+    followed by a refusal of no request; `slow_by` multiplies the work time."""
 
     def __init__(self, testbed, identity, service, zone, port=0, slots=4):
         self.testbed = testbed
@@ -44,6 +57,9 @@
         self.lost_answers = 0.0
         self.garbled = 0.0
         self.failing = 0.0
+        self.repeated = 0.0
+        self.unmarked = 0.0
+        self.unasked = 0.0
         self.slow_by = 1.0
         # By connection, an answer that is sent a second time before the next answer.
         self.stale = {}
@@ -103,10 +119,13 @@
         writer.close()
 
     async def serve_one(self, reader, writer):
-        call = await http1.read_message(reader)
+        call = await http1.read_head(reader)
         if call is None:
             return False
         attempt = call.field("x-attempt-id")
+        if call.target.startswith(UPLOADS):
+            return await self.serve_upload(attempt, call, reader)
+        call.body = await http1.read_body(reader, call.fields, is_answer=False)
         expected = call.field("x-expected-instance")
         if expected and expected != self.id:
             writer.write(http1.answer_bytes(421, [("X-Instance-Id", self.id), ("X-Not-Executed", "1")]))
@@ -114,8 +133,7 @@
         self.testbed.checks.on_arrival(attempt, self, call)
         pause = self.pause_field(attempt)
         if pause or (self.running >= self.slots and self.waiting >= MAX_QUEUED):
-            writer.write(http1.answer_bytes(503, self.status_fields() + [("X-Not-Executed", "1")]
-                                            + pause))
+            self.refuse(writer, attempt, self.status_fields() + pause)
             return True
         deadline = time.monotonic() + int(call.field("x-deadline-ms", "10000")) / 1000
         async with self.free_slot:
@@ -127,7 +145,7 @@
             self.running += 1
         try:
             if time.monotonic() >= deadline or writer.transport.is_closing():
-                writer.write(http1.answer_bytes(503, self.leaving_field() + [("X-Not-Executed", "1")]))
+                self.refuse(writer, attempt, self.leaving_field())
                 return True
             return await self.run(attempt, call, deadline, writer)
         finally:
@@ -135,12 +153,42 @@
                 self.running -= 1
                 self.free_slot.notify()
 
+    async def serve_upload(self, attempt, call, reader):
+        """Begins to work at the head of a request, and ends when its caller breaks it off."""
+        self.testbed.checks.on_arrival(attempt, self, call)
+        self.testbed.checks.on_execution(attempt, self, call)
+        await http1.read_body(reader, call.fields, is_answer=False)
+        return False
+
+    def refuse(self, writer, attempt, fields):
+        named = self.random.random() >= UNNAMED_SHARE
+        made = http1.answer_bytes(503, ([("X-Attempt-Id", attempt)] if named else []) + fields
+                                  + [("X-Not-Executed", "1")])
+        writer.write(made)
+        self.send_more(writer, made)
+
+    def send_more(self, writer, made):
+        """Sends what belongs to no request, behind the answer `made`."""
+        loop = asyncio.get_running_loop()
+        if self.random.random() < self.repeated:
+            loop.call_later(self.random.choice(REPEATED_AFTER_S), self.send_late, writer, made)
+        if self.random.random() < self.unasked:
+            unasked = http1.answer_bytes(503, [("X-Not-Executed", "1")])
+            loop.call_later(UNASKED_AFTER_S, self.send_late, writer, unasked)
+
+    @staticmethod
+    def send_late(writer, made):
+        if not writer.transport.is_closing():
+            writer.write(made)
+
     async def run(self, attempt, call, deadline, writer):
         self.testbed.checks.on_execution(attempt, self, call)
         work_s = min(self.work_s(call), max(0.0, deadline - time.monotonic()))
         await asyncio.sleep(work_s)
         rng = self.testbed.random
         status = 504 if time.monotonic() >= deadline else 500 if rng.random() < self.failing else 200
+        if self.random.random() < self.unmarked:
+            status = self.random.choice(UNMARKED_STATUSES)
         if writer in self.stale:
             writer.write(self.stale.pop(writer))
         body = (f"{attempt} {call.method} {call.target} " + "x" * rng.randint(0, 3000)).encode()
@@ -154,6 +202,7 @@
         if rng.random() < self.garbled:
             return await self.garble(made, writer)
         writer.write(made)
+        self.send_more(writer, made)
         await writer.drain()
         return True
 
