Answer with a promise only where the attempts prove it

What callers saw: an order whose body stalls past the body limit, or for whose body no buffer is left, after an upstream had got a part of it, was answered 408 or 503. Its caller may conclude that it has not run; an upstream that begins at the head has run it.

Cause: the status came from the row of the error, whatever had been sent; only the outcome was corrected. Class: a promise that follows from the place in the code instead of from what is known of the request.

Ruled out: the decision logic; the relay gave this answer without asking it.

Change: base::not_run_proof, which only an execution_record makes, from the ends of all attempts. Writers of an entry's own answers take an answer_status: a status that promises needs the proof and is otherwise that of may_have_run. The relay answers a failed body when its attempts have ended, so an attempt that had sent nothing still proves it. peer_unreachable is 502: its 503 was the only row that promised against its outcome, which a static_assert now forbids. Same cause elsewhere: refusals of heads (never sent), look-ups and pages of the entry, all errors of fuchsiad; they take the same types.

Why this works: the writer of an answer cannot be called with such a status unless the record of the request's attempts gave a proof.

--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -34,7 +34,7 @@
     error_answer{k::already_run, "already_run", 409, o::already_run, 4},
     error_answer{k::bad_message, "bad_message", 400, o::not_run, 2},
     error_answer{k::unsupported_version, "unsupported_version", 400, o::not_run, 2},
-    error_answer{k::peer_unreachable, "peer_unreachable", 503, o::may_have_run, 5},
+    error_answer{k::peer_unreachable, "peer_unreachable", 502, o::may_have_run, 5},
     error_answer{k::store_unavailable, "store_unavailable", 503, o::not_run, 5},
     error_answer{k::store_conflict, "store_conflict", 409, o::not_run, 4},
     error_answer{k::store_answer_unknown, "store_answer_unknown", 504, o::may_have_run, 5},
@@ -55,6 +55,20 @@
 static_assert(answers.size() == static_cast<std::size_t>(error_kind::internal) + 1,
               "every error kind has a row");
 
+constexpr bool promises_are_true()
+{
+    for (auto const& it : answers)
+    {
+        if (promises_not_run(it.http_status) && it.outcome != o::not_run)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+static_assert(promises_are_true(), "a status promises what the outcome does not say");
+
 } // namespace
 
 error_answer const& answer_for(error_kind kind) noexcept
--- a/src/callers/connection.cpp
+++ b/src/callers/connection.cpp
@@ -365,13 +365,13 @@
 void connection::refuse(base::error_kind kind)
 {
     count_refusal(kind);
-    auto const& row = base::answer_for(kind);
+    auto const reply = base::reply_for(kind, base::execution_record::never_sent());
     close_after_answer_ = true;
-    auto const body = "{\"error\":\"" + std::string(row.name) + "\"}";
+    auto const body = "{\"error\":\"" + std::string(reply.name) + "\"}";
     auto& text = writer_.begin();
-    http::append_status_line(text, row.http_status);
+    http::append_status_line(text, reply.status.value());
     http::append_field(text, "Content-Type", "application/json");
-    http::append_field(text, "Request-Outcome", base::name_of(row.outcome));
+    http::append_field(text, "Request-Outcome", base::name_of(reply.outcome));
     http::append_field(text, "Connection", "close");
     writer_.end_head(http::body_framing::counted, body.size());
     writer_.put(body, true);
--- a/src/callers/connection.hpp
+++ b/src/callers/connection.hpp
@@ -52,7 +52,8 @@
     void write_head(answer_head const& head) override;
     bool write_body(std::string_view data, bool end) override;
     bool flush() override;
-    void answer(unsigned status, http::fields const& fields, std::string_view body) override;
+    void answer(base::answer_status status, http::fields const& fields,
+                std::string_view body) override;
     void abort() override;
 
     /// Ends the exchange by releasing its connection.
@@ -88,7 +89,7 @@
     void write_head(answer_head const& head);
     bool write_body(std::string_view data, bool end);
     bool flush();
-    void answer(unsigned status, http::fields const& fields, std::string_view body);
+    void answer(base::answer_status status, http::fields const& fields, std::string_view body);
     void abort();
 
 private:
--- a/src/callers/connection_answer.cpp
+++ b/src/callers/connection_answer.cpp
@@ -55,9 +55,10 @@
     return write();
 }
 
-void connection::answer(unsigned status, http::fields const& fields, std::string_view body)
+void connection::answer(base::answer_status status, http::fields const& fields,
+                        std::string_view body)
 {
-    write_head(answer_head{status, fields, body.size()});
+    write_head(answer_head{status.value(), fields, body.size()});
     if (writer_.put(body, true) && write())
     {
         return;
@@ -204,7 +205,8 @@
     return !owner || owner->flush();
 }
 
-void request_exchange::answer(unsigned status, http::fields const& fields, std::string_view body)
+void request_exchange::answer(base::answer_status status, http::fields const& fields,
+                              std::string_view body)
 {
     if (auto const owner = owner_)
     {
--- a/src/callers/server_fixture.hpp
+++ b/src/callers/server_fixture.hpp
@@ -53,7 +53,9 @@
         } while (last_read.state == body_state::open);
         if (last_read.state == body_state::failed)
         {
-            it.answer(base::answer_for(last_read.error).http_status, {}, "failed");
+            it.answer({base::answer_for(last_read.error).http_status,
+                       base::execution_record::never_sent()},
+                      {}, "failed");
         }
     }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -180,15 +180,15 @@
     schedule_tick();
 }
 
-void gateway::body_failed(callers::request_head const& head, base::error_kind kind, unsigned status,
-                          base::request_outcome outcome)
+void gateway::body_failed(callers::request_head const& head, base::error_kind kind,
+                          base::error_reply const& reply)
 {
     log_("body_failed",
          {{"request",
            std::string(head.fields.find(settings_.fields.request_id).value_or(std::string_view()))},
           {"error", std::string(base::name_of(kind))},
-          {"status", std::to_string(status)},
-          {"outcome", std::string(base::name_of(outcome))}});
+          {"status", std::to_string(reply.status.value())},
+          {"outcome", std::string(base::name_of(reply.outcome))}});
 }
 
 void gateway::caller_gone(base::local_request_id request)
@@ -225,21 +225,21 @@
 
 void gateway::perform_one(steering::answer_error& it)
 {
+    http::fields fields;
+    if (it.retry_after > base::duration{})
+    {
+        fields.add("Retry-After", seconds_text(it.retry_after));
+    }
+    auto const reply = relay_.answer_error(it.request, it.kind, fields);
     log_("request_failed", {{"request", std::move(it.trace_id)},
                             {"route", std::move(it.route)},
                             {"error", std::string(base::name_of(it.kind))},
-                            {"status", std::to_string(base::answer_for(it.kind).http_status)},
+                            {"status", std::to_string(reply.status.value())},
                             {"configuration", std::to_string(it.version.value())},
                             {"attempts", std::to_string(it.attempts)},
                             {"expected_ms", ms_text(it.expected)},
                             {"service_load", rounded_text(it.service_load)},
                             {"retry_after_ms", ms_text(it.retry_after)}});
-    http::fields fields;
-    if (it.retry_after > base::duration{})
-    {
-        fields.add("Retry-After", seconds_text(it.retry_after));
-    }
-    relay_.answer_error(it.request, it.kind, fields);
 }
 
 void gateway::perform_one(steering::upstream_retired& it)
--- a/src/gateway/page_server.cpp
+++ b/src/gateway/page_server.cpp
@@ -41,7 +41,7 @@
     {
         fields.add("Content-Type", made.content_type);
     }
-    it->answer(made.status, fields, made.body);
+    it->answer({made.status, base::execution_record::never_sent()}, fields, made.body);
 }
 
 void page_server::body_ready(base::local_request_id) {}
--- a/src/include/fuchsiaproxy/base/attempt_result.hpp
+++ b/src/include/fuchsiaproxy/base/attempt_result.hpp
@@ -54,6 +54,13 @@
     return "stopped";
 }
 
+/// Returns whether an attempt with this result has not run and never will. Thread safe.
+constexpr bool proves_not_run(attempt_result it) noexcept
+{
+    return it == attempt_result::shed || it == attempt_result::connect_failed ||
+           it == attempt_result::not_sent || it == attempt_result::cancelled_before_start;
+}
+
 } // namespace fuchsiaproxy::base
 
 #endif
--- a/src/include/fuchsiaproxy/base/error.hpp
+++ b/src/include/fuchsiaproxy/base/error.hpp
@@ -83,6 +83,13 @@
 template <class T>
 using result = boost::outcome_v2::basic_result<T, error, boost::outcome_v2::policy::all_narrow>;
 
+/// Returns whether a caller that gets `status` may conclude that its request has not run and never
+/// will. Thread safe.
+constexpr bool promises_not_run(unsigned status) noexcept
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Returns how `kind` is reported to callers and operators. Preconditions: none. Thread safe.
 error_answer const& answer_for(error_kind kind) noexcept;
 
--- a/src/include/fuchsiaproxy/callers/exchange.hpp
+++ b/src/include/fuchsiaproxy/callers/exchange.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "fuchsiaproxy/base/error.hpp"
+#include "fuchsiaproxy/base/execution.hpp"
 #include "fuchsiaproxy/base/ids.hpp"
 #include "fuchsiaproxy/base/time.hpp"
 #include "fuchsiaproxy/http/fields.hpp"
@@ -114,7 +115,8 @@
     virtual bool flush() = 0;
 
     /// Sends a small complete answer. Precondition: `write_head` was not called.
-    virtual void answer(unsigned status, http::fields const& fields, std::string_view body) = 0;
+    virtual void answer(base::answer_status status, http::fields const& fields,
+                        std::string_view body) = 0;
 
     /// Closes the connection before the end of the answer, so that the caller sees that the answer
     /// is incomplete.
--- a/src/include/fuchsiaproxy/gateway/gateway.hpp
+++ b/src/include/fuchsiaproxy/gateway/gateway.hpp
@@ -119,8 +119,8 @@
     bool attempt_head(base::attempt_id attempt, unsigned status) override;
     void attempt_finished(base::attempt_id attempt,
                           upstreams::attempt_report const& report) override;
-    void body_failed(callers::request_head const& head, base::error_kind kind, unsigned status,
-                     base::request_outcome outcome) override;
+    void body_failed(callers::request_head const& head, base::error_kind kind,
+                     base::error_reply const& reply) override;
     void caller_gone(base::local_request_id request) override;
 
 private:
--- a/src/include/fuchsiaproxy/relay/relay.hpp
+++ b/src/include/fuchsiaproxy/relay/relay.hpp
@@ -45,14 +45,15 @@
     virtual void attempt_finished(base::attempt_id attempt,
                                   upstreams::attempt_report const& report) = 0;
 
-    /// The body of a request has failed with `kind`, and the relay answers it with `status` and
-    /// `outcome`. Called before `caller_gone`.
-    virtual void body_failed(callers::request_head const&, base::error_kind kind, unsigned status,
-                             base::request_outcome outcome)
+    /// The body of a request has failed with `kind`. The relay answers it with `reply`, once its
+    /// attempts have ended.
+    virtual void body_failed(callers::request_head const&, base::error_kind kind,
+                             base::error_reply const& reply)
     {
     }
 
     /// The caller has disconnected, or its request body has failed, so the request needs no answer.
+    /// Called at most once for each request.
     /// Unanswered attempts that have the whole body continue until they are cancelled.
     virtual void caller_gone(base::local_request_id request) = 0;
 };
@@ -96,13 +97,14 @@
 
     /// Answers the request, unless it is unknown or an answer has been started. Running attempts
     /// are not cancelled, but their answers are discarded.
-    void answer(base::local_request_id request, unsigned status, http::fields const& fields,
-                std::string_view body);
+    void answer(base::local_request_id request, base::answer_status status,
+                http::fields const& fields, std::string_view body);
 
     /// Answers the request with the status, body and `Request-Outcome` defined for `kind`, and with
-    /// the header fields `added`.
-    void answer_error(base::local_request_id request, base::error_kind kind,
-                      http::fields const& added = {});
+    /// the header fields `added`. Returns the reply, which does not promise that the request has
+    /// not run unless its attempts prove it; see `base::reply_for`.
+    base::error_reply answer_error(base::local_request_id request, base::error_kind kind,
+                                   http::fields const& added = {});
 
     /// Returns whether the request is unanswered and its body is still buffered from the first
     /// byte, so that it may be attempted again.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -10,6 +10,22 @@
 using base::attempt_id;
 using base::local_request_id;
 
+namespace
+{
+
+void add_error_fields(base::error_reply const& it, http::fields& to)
+{
+    to.add("Content-Type", "application/json");
+    to.add("Request-Outcome", base::name_of(it.outcome));
+}
+
+std::string error_body(base::error_reply const& it)
+{
+    return "{\"error\":\"" + std::string(it.name) + "\"}";
+}
+
+} // namespace
+
 request_state* relay::impl::find(local_request_id request)
 {
     auto const it = requests_.find(request);
@@ -60,6 +76,7 @@
     out.shed_statuses = order.shed_statuses;
     out.body = request->head.content_length == 0U ? nullptr : this;
     request->running.push_back(order.attempt);
+    request->execution.attempt_started();
     attempts_[order.attempt].request = order.request;
     auto started = client_.start(std::move(out), *this);
     attempts_[order.attempt].attempt = std::move(started);
@@ -85,8 +102,8 @@
     }
 }
 
-void relay::impl::answer(local_request_id id, unsigned status, http::fields const& fields,
-                         std::string_view body)
+void relay::impl::answer(local_request_id id, base::answer_status status,
+                         http::fields const& fields, std::string_view body)
 {
     auto* const request = find(id);
     if (request == nullptr || !request->exchange || std::exchange(request->answered, true))
@@ -98,6 +115,17 @@
     erase_if_finished(id);
 }
 
+base::error_reply relay::impl::answer_error(local_request_id id, base::error_kind kind,
+                                            http::fields fields)
+{
+    auto const* const request = find(id);
+    auto const proof = request == nullptr ? std::nullopt : request->execution.proof();
+    auto const reply = base::reply_for(kind, proof);
+    add_error_fields(reply, fields);
+    answer(id, reply.status, fields, error_body(reply));
+    return reply;
+}
+
 bool relay::impl::can_attempt(local_request_id id) const
 {
     auto const it = requests_.find(id);
@@ -177,39 +205,49 @@
     }
 }
 
-/// Fails a request whose body cannot be completed. Before the request is announced, no upstream has
-/// received any of it; afterwards an upstream may have acted on the part that it received.
+/// Fails a request whose body cannot be completed. What its answer may promise is known when its
+/// attempts have ended.
 void relay::impl::body_failed(local_request_id id)
 {
     auto* const request = find(id);
-    if (request == nullptr || !request->exchange)
+    if (request == nullptr || !request->exchange || request->answers_failed_body)
     {
         return;
     }
-    auto const announced = request->announced;
-    auto const& row = base::answer_for(request->body.error());
-    auto const outcome = announced ? base::request_outcome::may_have_run : row.outcome;
-    auto const exchange = std::exchange(request->exchange, nullptr);
     cancel_all(*request, attempt_id{});
-    if (!request->answered)
-    {
-        events_.body_failed(exchange->head(), request->body.error(), row.http_status, outcome);
-    }
     if (std::exchange(request->answered, true))
     {
-        exchange->abort();
+        std::exchange(request->exchange, nullptr)->abort();
     }
     else
     {
-        http::fields fields;
-        fields.add("Content-Type", "application/json");
-        fields.add("Request-Outcome", base::name_of(outcome));
-        exchange->answer(row.http_status, fields, "{\"error\":\"" + std::string(row.name) + "\"}");
+        request->answers_failed_body = true;
+        answer_failed_body(*request);
     }
+    report_caller_gone(*request);
     erase_if_finished(id);
-    if (announced)
+}
+
+void relay::impl::answer_failed_body(request_state& request)
+{
+    if (!request.answers_failed_body || !request.running.empty() || !request.exchange)
+    {
+        return;
+    }
+    auto const exchange = std::exchange(request.exchange, nullptr);
+    auto const kind = request.body.error();
+    auto const reply = base::reply_for(kind, request.execution.proof());
+    events_.body_failed(request.head, kind, reply);
+    http::fields fields;
+    add_error_fields(reply, fields);
+    exchange->answer(reply.status, fields, error_body(reply));
+}
+
+void relay::impl::report_caller_gone(request_state& request)
+{
+    if (request.announced && !std::exchange(request.caller_gone_reported, true))
     {
-        events_.caller_gone(id);
+        events_.caller_gone(request.head.id);
     }
 }
 
@@ -236,8 +274,8 @@
     {
         attempts_.erase(request->winner);
     }
+    report_caller_gone(*request);
     erase_if_finished(id);
-    events_.caller_gone(id);
 }
 
 /// Removes a request that has neither an exchange nor a running attempt.
@@ -268,20 +306,16 @@
     impl_->cancel_attempt(attempt);
 }
 
-void relay::answer(local_request_id request, unsigned status, http::fields const& fields,
+void relay::answer(local_request_id request, base::answer_status status, http::fields const& fields,
                    std::string_view body)
 {
     impl_->answer(request, status, fields, body);
 }
 
-void relay::answer_error(local_request_id request, base::error_kind kind, http::fields const& added)
+base::error_reply relay::answer_error(local_request_id request, base::error_kind kind,
+                                      http::fields const& added)
 {
-    auto const& row = base::answer_for(kind);
-    auto fields = added;
-    fields.add("Content-Type", "application/json");
-    fields.add("Request-Outcome", base::name_of(row.outcome));
-    impl_->answer(request, row.http_status, fields,
-                  "{\"error\":\"" + std::string(row.name) + "\"}");
+    return impl_->answer_error(request, kind, added);
 }
 
 bool relay::can_attempt(local_request_id request) const
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -316,6 +316,8 @@
     auto& request = *find(request_id);
     auto& running = request.running;
     running.erase(std::remove(running.begin(), running.end(), id), running.end());
+    request.execution.attempt_ended(report.result);
+    answer_failed_body(request);
     auto const is_forwarding = request.winner == id && request.exchange;
     if (is_forwarding && report.result != attempt_result::completed)
     {
--- a/src/relay/relay_impl.hpp
+++ b/src/relay/relay_impl.hpp
@@ -35,6 +35,7 @@
     std::string assigned_request_id;
     /// Attempts whose end has not been reported to the relay.
     std::vector<base::attempt_id> running;
+    base::execution_record execution;
 
     bool is_running(base::attempt_id it) const
     {
@@ -52,6 +53,10 @@
     bool announced = false;
     /// An answer has been started, either an upstream's or the entry's own.
     bool answered = false;
+    /// The body has failed. The answer waits for the ends of the attempts.
+    bool answers_failed_body = false;
+    /// `relay_events::caller_gone` has been called.
+    bool caller_gone_reported = false;
     /// The exchange has not finished writing a part of the winner's answer.
     bool write_pending = false;
     bool end_written = false;
@@ -89,8 +94,10 @@
     // Calls from the decision logic.
     void start_attempt(attempt_parameters const& order);
     void cancel_attempt(base::attempt_id attempt);
-    void answer(base::local_request_id request, unsigned status, http::fields const& fields,
-                std::string_view body);
+    void answer(base::local_request_id request, base::answer_status status,
+                http::fields const& fields, std::string_view body);
+    base::error_reply answer_error(base::local_request_id request, base::error_kind kind,
+                                   http::fields fields);
     bool can_attempt(base::local_request_id request) const;
     std::size_t requests() const;
 
@@ -120,6 +127,8 @@
     void announce(request_state& request);
     void notify_attempts(base::local_request_id id);
     void body_failed(base::local_request_id id);
+    void answer_failed_body(request_state& request);
+    void report_caller_gone(request_state& request);
     void read_more_body(request_state& request, base::attempt_id attempt);
     void begin_answer(request_state& request, base::attempt_id attempt,
                       upstreams::answer_head const& head);
--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -75,7 +75,7 @@
     {
         return true;
     }
-    void answer(unsigned, http::fields const&, std::string_view) override {}
+    void answer(base::answer_status, http::fields const&, std::string_view) override {}
     void abort() override {}
 
     std::size_t moved = 0;
--- a/src/routing/attempts.cpp
+++ b/src/routing/attempts.cpp
@@ -9,13 +9,6 @@
 namespace
 {
 
-/// Whether the result proves that the attempt did not run and never will.
-bool proves_not_run(attempt_result it) noexcept
-{
-    return it == attempt_result::shed || it == attempt_result::connect_failed ||
-           it == attempt_result::not_sent || it == attempt_result::cancelled_before_start;
-}
-
 /// Whether the upstream may still be processing the attempt.
 bool may_still_run(attempt_result it) noexcept
 {
