Replace an upstream's 408, 421, 429 or 503 to an order that it has run

What callers saw: an order that ran and failed at its upstream with one of these statuses was answered with it. They conclude that it has not run, and send it again as a new request.

Cause: director::on_attempt_head accepted any status that was not a refusal. An upstream states that it did not run a request by a mark; without the mark its status says nothing of the kind, but callers read the status alone.

Ruled out: reading such an answer as a refusal: the upstream has run the order. Passing its body on under another status: the seal in it would stand for an answer that the upstream did not give.

Change: such an order ends with 502, upstream_failed, at once; its answer is read to its end and dropped.

Evidence: steering_test.order_promises failed on each of the statuses (expected 502, was 408) and passes over 200 to 599.

Why this works: the decision is made where every upstream's answer to a request passes, before any of it is forwarded.

--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -410,6 +410,12 @@
         return false;
     }
     auto& request = at->second;
+    if (base::promises_not_run(status) && !request.matched_route->idempotent)
+    {
+        // The upstream ran the request, but the caller would conclude that it did not.
+        my.end_with_error(at, error_kind::upstream_failed, out);
+        return false;
+    }
     auto const may_retry = status >= 500 && request.matched_route->idempotent &&
                            request.attempts_sent + 1 < request.matched_route->max_attempts &&
                            my.budget_of(request.service).has_attempt();
