Skip refusals that do not name an order and follow other answers

What callers saw: an order ran twice, or was answered 503 and ran. Its upstream had sent a refusal without an id behind an answer to an earlier request: a late copy, or bytes that belong to no request.

Cause: on a connection that had carried answers with ids, the first refusal without one was taken for the order's own by its position.

Change: an order takes such a refusal for its own only as the first answer on its connection. Behind others it is skipped like an answer to another request, and the answer with the order's id decides, or else the deadline (504). A notice in it (leaving, a pause) is still heard, as it speaks of the upstream. Requests that may run twice go on as before.

Tried instead: unknown outcome at once (502). Not tried: a probe behind the order, which is priced and may itself be refused without an id; orders on fresh connections only, which cost a connection each.

Why this works: bytes of an upstream are evidence for an order only if they name it, or if nothing else can have been answered on the connection.

--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -137,7 +137,8 @@
     virtual ~attempt_events() = default;
 
     /// The head of the attempt's own answer contains a notice of the upstream. Called before the
-    /// functions below, also for shed answers, and not for answers to other requests.
+    /// functions below, also for refusals that may not be its own, and not for answers that are
+    /// known to belong to other requests.
     virtual void upstream_notified(base::attempt_id, upstream_notice const&) {}
 
     /// The head of the answer has arrived. Not called for shed answers.
--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -262,8 +262,7 @@
     data_path path{id_echo_settings(), {}, buffer_limit};
     raw_peer caller{path.io, path.port};
     bool idempotent = false;
-    static constexpr char const* refusal =
-        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    std::string const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
     /// Sends a request with an id and waits until the upstream has received it.
     raw_peer& request(std::string const& id)
@@ -287,22 +286,60 @@
 
 // Guards against an order that runs twice, or runs and is answered as not run: a refusal that its
 // upstream sent for no request, behind answers that named theirs, was taken for the order's own.
-TEST(refusals_of_orders, one_without_an_id_behind_other_answers_is_doubtful)
+TEST(refusals_of_orders, one_without_an_id_behind_other_answers_decides_nothing)
 {
     request("1").send(answer_to("1", "done"));
     CHECK(result_of(1) == attempt_result::completed);
     auto& peer = request("2");
     LONGS_EQUAL(1, path.upstream.peers.size());
     peer.send(refusal);
-    CHECK(result_of(2) != attempt_result::shed);
-    LONGS_EQUAL(1, path.client.counters().refusals_by_position);
+    CHECK(path.until([&]() { return path.client.counters().refusals_by_position == 1; }));
+    testing::run_ready(path.io);
+    LONGS_EQUAL(1, path.events.finished.size());
+    path.timers.advance(std::chrono::seconds(2));
+    CHECK(result_of(2) == attempt_result::timed_out);
+    CHECK_FALSE(caller.has("503"));
     LONGS_EQUAL(0, path.client.connections());
 }
 
-TEST(refusals_of_orders, one_without_an_id_behind_a_skipped_answer_is_doubtful)
+// Guards against an order that ran well and fails because of a refusal that was not its own.
+TEST(refusals_of_orders, the_answer_behind_a_doubtful_one_is_delivered)
+{
+    request("1").send(answer_to("1", "done"));
+    CHECK(result_of(1) == attempt_result::completed);
+    request("2").send(refusal + answer_to("2", "placed"));
+    CHECK(path.until([&]() { return caller.has("placed"); }));
+    CHECK(result_of(2) == attempt_result::completed);
+    LONGS_EQUAL(0, path.client.connections());
+}
+
+TEST(refusals_of_orders, one_with_an_id_behind_a_doubtful_one_is_certain)
+{
+    request("1").send(answer_to("1", "done"));
+    CHECK(result_of(1) == attempt_result::completed);
+    request("2").send(refusal + "HTTP/1.1 503 Busy\r\nId: 2\r\nNot-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n");
+    CHECK(result_of(2) == attempt_result::shed);
+}
+
+TEST(refusals_of_orders, one_without_an_id_behind_a_skipped_answer_decides_nothing)
 {
     request("2").send(answer_to("1", "stale") + refusal);
-    CHECK(result_of(1) != attempt_result::shed);
+    CHECK(path.until([&]() { return path.client.counters().refusals_by_position == 1; }));
+    path.timers.advance(std::chrono::seconds(2));
+    CHECK(result_of(1) == attempt_result::timed_out);
+}
+
+// Guards against an upstream that keeps getting requests although it asked for none, because its
+// refusal did not name the order.
+TEST(refusals_of_orders, a_notice_in_a_doubtful_one_is_heard)
+{
+    request("1").send(answer_to("1", "done"));
+    CHECK(result_of(1) == attempt_result::completed);
+    request("2").send("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLeaving: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+    CHECK(path.until([&]() { return path.events.notices.size() == 1; }));
+    CHECK(path.events.notices[0].leaving);
 }
 
 // Guards against an order that is failed although nothing else can have been refused.
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -461,7 +461,7 @@
         my.erase_if_ended(at);
         return;
     }
-    auto const proven_not_run = !end.sent || end.result == attempt_result::shed;
+    auto const proven_not_run = base::proves_not_run(end.result);
     request.attempts_sent += end.sent ? 1 : 0;
     request.attempts_not_sent += end.sent ? 0 : 1;
     request.may_have_run = request.may_have_run || !proven_not_run;
--- a/src/upstreams/running_attempt.hpp
+++ b/src/upstreams/running_attempt.hpp
@@ -71,7 +71,8 @@
     bool fill_buffer();
     void read_answer_head();
     bool accept_head(http::message_head& head);
-    bool starts_foreign_answer(http::message_head const& head);
+    void skip_answer();
+    void report_notice(http::message_head const& head);
     base::refusal_attribution attribute_refusal(http::fields const& answer);
     void skip_foreign_answer();
     bool answer_done() const;
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -142,8 +142,18 @@
     {
         return false;
     }
-    if (starts_foreign_answer(head))
+    if (!dialect.is_answer_to(head.fields, request_.fields))
     {
+        skip_answer();
+        return !until_close_;
+    }
+    auto const refused = dialect.is_refusal(head.status, head.fields, request_.shed_statuses);
+    report_.refusal = refused ? attribute_refusal(head.fields) : base::refusal_attribution::none;
+    report_notice(head);
+    if (report_.refusal == base::refusal_attribution::position && !request_.idempotent)
+    {
+        // It may belong to no request. The answer with the request's id decides.
+        skip_answer();
         return !until_close_;
     }
     head_done_ = true;
@@ -152,14 +162,8 @@
     report_.upstream_leaving = !head.keep_alive;
     report_.load = dialect.load(head.fields);
     link_->apply_keep_alive_timeout(head.fields);
-    if (auto const notice = dialect.notice(head.status, head.fields); notice.any())
+    if (refused)
     {
-        context_->counters.malformed_notices += notice.malformed ? 1 : 0;
-        events_->upstream_notified(request_.id, notice);
-    }
-    if (dialect.is_refusal(head.status, head.fields, request_.shed_statuses))
-    {
-        report_.refusal = attribute_refusal(head.fields);
         report_.upstream_leaving = report_.upstream_leaving || dialect.is_leaving(head.fields);
         finish_shed();
         return true;
@@ -170,6 +174,16 @@
     return true;
 }
 
+void running_attempt::report_notice(http::message_head const& head)
+{
+    auto const notice = context_->settings.upstream_dialect->notice(head.status, head.fields);
+    if (notice.any())
+    {
+        context_->counters.malformed_notices += notice.malformed ? 1 : 0;
+        events_->upstream_notified(request_.id, notice);
+    }
+}
+
 /// Returns why a refusal is taken for the answer to this request, and counts the doubtful ones.
 base::refusal_attribution running_attempt::attribute_refusal(http::fields const& answer)
 {
@@ -200,17 +214,12 @@
     }
 }
 
-/// Returns whether `head` begins an answer to an earlier request, which is then skipped.
-bool running_attempt::starts_foreign_answer(http::message_head const& head)
+/// Begins to skip an answer that is not known to be this request's.
+void running_attempt::skip_answer()
 {
-    if (context_->settings.upstream_dialect->is_answer_to(head.fields, request_.fields))
-    {
-        return false;
-    }
     ++context_->counters.foreign_answers;
     had_foreign_answer_ = true;
     skipping_foreign_answer_ = !reader_->done();
-    return true;
 }
 
 /// Discards the body of a foreign answer. `skipping_foreign_answer_` stays set while more input is
