Send a request to each address once

An order refused with 421 by an upstream that no longer has its address would be sent to the upstream that has taken it over, on the same connection. A late copy of the 421 names the order, so it would be taken for the second upstream's refusal while that one runs the order.

Cause: an id identifies a request, not one of its attempts; upstreams already tried were told apart by their record, not by where they are reached.

Ruled out: other ways to meet the same id twice on a connection. Attempts of a caller have ids of their own, and the pool is keyed by address.

Change: the selection leaves out each address that the request was sent to.

Evidence: steering_test.order_promises, an_order_is_sent_to_an_address_once, failed in (an attempt was started) and passes.

Why this works: no connection carries two attempts of one request.

--- a/src/include/fuchsiaproxy/model/configuration.hpp
+++ b/src/include/fuchsiaproxy/model/configuration.hpp
@@ -18,6 +18,11 @@
 {
     std::string address;
     std::uint16_t port = 0;
+
+    friend bool operator==(endpoint const& a, endpoint const& b)
+    {
+        return a.port == b.port && a.address == b.address;
+    }
 };
 
 /// Address and limits of one upstream process.
--- a/src/steering/selector.cpp
+++ b/src/steering/selector.cpp
@@ -78,9 +78,10 @@
     {
         return false;
     }
+    // By address: a late copy of a refusal by the previous upstream there has the request's id.
     auto const& tried = *query.tried;
     return std::none_of(tried.begin(), tried.end(),
-                        [&](upstream_ptr const& one) { return one.get() == &it; });
+                        [&](upstream_ptr const& one) { return one->record.at == it.record.at; });
 }
 
 region_shares selector::shares(std::vector<upstream_ptr> const& candidates) const
