--- a/src/include/fuchsiaproxy/relay/relay.hpp
+++ b/src/include/fuchsiaproxy/relay/relay.hpp
@@ -53,8 +53,8 @@
     }
 
     /// The caller has disconnected, or its request body has failed, so the request needs no answer.
-    /// Called at most once for each request.
-    /// Unanswered attempts that have the whole body continue until they are cancelled.
+    /// Unanswered attempts that have the whole body continue until they are cancelled. Called at
+    /// most once for each request.
     virtual void caller_gone(base::local_request_id request) = 0;
 };
 
--- a/src/include/fuchsiaproxy/steering/director.hpp
+++ b/src/include/fuchsiaproxy/steering/director.hpp
@@ -46,6 +46,7 @@
     base::attempt_result result = base::attempt_result::not_sent;
     /// HTTP status of the answer, or 0 if no head arrived.
     unsigned status = 0;
+    /// Attribution of the last refusal, if there was one.
     base::refusal_attribution refusal = base::refusal_attribution::none;
     bool sent = false;
     /// Time taken to connect, if a new connection was made.
--- a/src/include/fuchsiaproxy/upstreams/attempt.hpp
+++ b/src/include/fuchsiaproxy/upstreams/attempt.hpp
@@ -79,6 +79,7 @@
     base::attempt_result result = base::attempt_result::not_sent;
     /// Status of the answer, or 0 if no head arrived.
     unsigned status = 0;
+    /// Attribution of the last refusal, if there was one.
     base::refusal_attribution refusal = base::refusal_attribution::none;
     std::uint64_t bytes_sent = 0;
     /// Bytes of the answer's body.
--- a/src/upstreams/running_attempt.hpp
+++ b/src/upstreams/running_attempt.hpp
@@ -74,7 +74,7 @@
     void skip_answer();
     void report_notice(http::message_head const& head);
     base::refusal_attribution attribute_refusal(http::fields const& answer);
-    void skip_foreign_answer();
+    void skip_answer_body();
     bool answer_done() const;
     void finish_shed();
     bool is_reusable() const;
@@ -119,10 +119,10 @@
     /// The body of the answer ends with the connection.
     bool until_close_ = false;
     bool closed_by_upstream_ = false;
-    /// An answer to an earlier request is being skipped.
-    bool skipping_foreign_answer_ = false;
-    /// The connection has carried an answer to another request and must not be reused.
-    bool had_foreign_answer_ = false;
+    /// An answer that is not known to be this request's is being skipped.
+    bool skipping_answer_ = false;
+    /// The connection has carried such an answer and must not be reused.
+    bool skipped_answer_ = false;
     bool finished_ = false;
 };
 
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -91,10 +91,10 @@
 {
     while (!finished_ && !head_done_)
     {
-        if (skipping_foreign_answer_)
+        if (skipping_answer_)
         {
-            skip_foreign_answer();
-            if (skipping_foreign_answer_)
+            skip_answer_body();
+            if (skipping_answer_)
             {
                 return;
             }
@@ -144,6 +144,7 @@
     }
     if (!dialect.is_answer_to(head.fields, request_.fields))
     {
+        ++context_->counters.foreign_answers;
         skip_answer();
         return !until_close_;
     }
@@ -191,7 +192,7 @@
     {
         return base::refusal_attribution::identified;
     }
-    if (link_->pooled || had_foreign_answer_)
+    if (link_->pooled || skipped_answer_)
     {
         ++context_->counters.refusals_by_position;
         return base::refusal_attribution::position;
@@ -217,14 +218,13 @@
 /// Begins to skip an answer that is not known to be this request's.
 void running_attempt::skip_answer()
 {
-    ++context_->counters.foreign_answers;
-    had_foreign_answer_ = true;
-    skipping_foreign_answer_ = !reader_->done();
+    skipped_answer_ = true;
+    skipping_answer_ = !reader_->done();
 }
 
-/// Discards the body of a foreign answer. `skipping_foreign_answer_` stays set while more input is
+/// Discards the body of a skipped answer. `skipping_answer_` stays set while more input is
 /// needed.
-void running_attempt::skip_foreign_answer()
+void running_attempt::skip_answer_body()
 {
     while (!finished_ && !reader_->done() && decode_next_part())
     {
@@ -234,8 +234,8 @@
     {
         return;
     }
-    skipping_foreign_answer_ = !reader_->done();
-    if (skipping_foreign_answer_)
+    skipping_answer_ = !reader_->done();
+    if (skipping_answer_)
     {
         link_->arm_read();
     }
@@ -319,7 +319,7 @@
 {
     // Bytes after the answer would be read as the next answer, and after an incomplete request
     // the upstream still waits for the rest.
-    return keep_alive_ && !had_foreign_answer_ && !until_close_ && begin_ == end_ && !sending_ &&
+    return keep_alive_ && !skipped_answer_ && !until_close_ && begin_ == end_ && !sending_ &&
            !write_failed_;
 }
 
