Soak: a watch that is cancelled at the end of a run leaves no lock taken

Cause: the stand-in store waited for changes with a condition inside asyncio.wait_for. At the end of a run all tasks are cancelled at once, the inner wait as well as the watch around it. The watch then left the lock before the inner wait took it again, and nobody released it. The stacks of both processes show watches and inner waits that wait for that lock, and nothing else.

Ruled out: the product; no entry was running any more. The new callers and faults of the soak; none of their tasks was left.

Change: an event that is set and replaced with each change; it has no lock.

--- a/tests/soak/soaking/faults.py
+++ b/tests/soak/soaking/faults.py
@@ -130,8 +130,7 @@
         seconds = self.duration(rng)
         self.checks.add_fault("store", seconds)
         self.testbed.store.failure = rng.choice(["refuse", "silent", "reset"])
-        async with self.testbed.store.changed:
-            self.testbed.store.changed.notify_all()
+        self.testbed.store.wake_watches()
         await asyncio.sleep(seconds)
         self.testbed.store.failure = None
         self.checks.add_fault("store", 0.1)
--- a/tests/soak/soaking/store.py
+++ b/tests/soak/soaking/store.py
@@ -33,7 +33,9 @@
         self.lost_writes = 0.0
         self.random = None
         self.calls = 0
-        self.changed = asyncio.Condition()
+        # Set and replaced with each change. Not a condition: a watch that is cancelled together with
+        # its inner wait would leave the lock taken, and the run would not end.
+        self.changed = asyncio.Event()
         self.watch_epoch = 0
 
     async def listen(self, caller):
@@ -60,17 +62,19 @@
         for key in removed:
             if self.items.pop(key, None):
                 self.history.append({"key": key, "rev": self.revision, "deleted": True})
-        async with self.changed:
-            self.changed.notify_all()
+        self.wake_watches()
         return self.revision
 
+    def wake_watches(self):
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
     async def compact(self):
         """Drops the history and aborts the watches."""
         self.history.clear()
         self.oldest = self.revision
         self.watch_epoch += 1
-        async with self.changed:
-            self.changed.notify_all()
+        self.wake_watches()
 
     async def expire_leases(self):
         """Never returns. Leases also expire while the store is unavailable."""
@@ -157,11 +161,10 @@
             events = [it for it in self.history if it["rev"] > after and it["key"].startswith(prefix)]
             if events or time.monotonic() >= end:
                 return http1.json_answer({"events": events, "current_rev": self.revision})
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
+            except asyncio.TimeoutError:
+                pass
             if epoch != self.watch_epoch or self.failure:
                 return None
 
