Share the fixture of the two groups of held_answers_test

Ruled out: a change of what is tested; no test body is touched.

Change: both groups derive from id_echo_path.

Measured: 40 relay tests pass; 45 checks in refusals_of_orders and 86 in held_answers, as before.

--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -71,18 +71,18 @@
            "\r\n\r\n" + body;
 }
 
-} // namespace
-
-TEST_GROUP(held_answers)
+/// A caller and an upstream that repeats ids, with a relay between them that buffers answers.
+struct id_echo_path : Utest
 {
     data_path path{id_echo_settings(), {}, buffer_limit};
     raw_peer caller{path.io, path.port};
+    bool idempotent = true;
 
     /// Sends a request with an id and waits until the upstream has received it.
     raw_peer& request(std::string const& id)
     {
         path.events.on_request = [this](callers::request_head const& head)
-        { path.attempt(head.id, path.upstream.at()); };
+        { path.attempt(head.id, path.upstream.at(), idempotent); };
         caller.send(get("/a", "Id: " + id + "\r\n"));
         CHECK(path.until(
             [&]() {
@@ -93,6 +93,10 @@
     }
 };
 
+} // namespace
+
+TEST_GROUP_BASE(held_answers, id_echo_path){};
+
 // Guards against a truncated answer whose beginning has been forwarded, so that the request cannot
 // be attempted again.
 TEST(held_answers, a_truncated_short_answer_is_not_forwarded)
@@ -257,25 +261,13 @@
     LONGS_EQUAL(0, path.client.connections());
 }
 
-TEST_GROUP(refusals_of_orders)
+TEST_GROUP_BASE(refusals_of_orders, id_echo_path)
 {
-    data_path path{id_echo_settings(), {}, buffer_limit};
-    raw_peer caller{path.io, path.port};
-    bool idempotent = false;
     std::string const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
-    /// Sends a request with an id and waits until the upstream has received it.
-    raw_peer& request(std::string const& id)
+    void setup() override
     {
-        path.events.on_request = [this](callers::request_head const& head)
-        { path.attempt(head.id, path.upstream.at(), idempotent); };
-        caller.send(get("/a", "Id: " + id + "\r\n"));
-        CHECK(path.until(
-            [&]() {
-                return !path.upstream.peers.empty() &&
-                       path.upstream.peers.back()->has("Id: " + id + "\r\n");
-            }));
-        return *path.upstream.peers.back();
+        idempotent = false;
     }
     attempt_result result_of(std::size_t attempt)
     {
