Review: show that a withdrawn key runs at a machine added after a restore

Cause: a new process takes the first listing for proven, though the store has just come back from an older copy.

--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -114,6 +114,8 @@
         self.returned = asyncio.Event()
         self.on_renewal = None
         self.server = None
+        # Stated in the header Store-Era of all answers, if set.
+        self.era = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=1 << 22)
@@ -174,6 +176,28 @@
         self.record.write('store', 'is back after %.1f s' % paused)
         await self.notify()
 
+    def copy(self):
+        """Returns a copy of the store, from which it may come back."""
+        now = time.monotonic()
+        self.record.write('store', 'is copied at rev=%d' % self.rev)
+        return {'rev': self.rev, 'history': list(self.history),
+                'items': {key: dict(it) for key, it in self.items.items()},
+                'left': {number: (it['ttl'], it['ends'] - now)
+                         for number, it in self.leases.items()}}
+
+    async def come_back_from(self, copy):
+        """The store comes back from an older copy; its revisions go back, and its era rises."""
+        now = time.monotonic()
+        self.rev, self.history = copy['rev'], list(copy['history'])
+        self.items = {key: dict(it) for key, it in copy['items'].items()}
+        self.leases = {number: {'ttl': ttl, 'ends': now + left}
+                       for number, (ttl, left) in copy['left'].items()}
+        self.era += 1
+        self.up = True
+        self.returned.set()
+        self.record.write('store', 'is back at rev=%d, Store-Era %d' % (self.rev, self.era))
+        await self.notify()
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.02)
@@ -203,8 +227,10 @@
                 if not self.up:
                     await reader.read()
                     return
-                writer.write(message(status, {'Content-Type': 'application/json'},
-                                     json.dumps(answer).encode()))
+                common = {'Content-Type': 'application/json'}
+                if self.era is not None:
+                    common['Store-Era'] = self.era
+                writer.write(message(status, common, json.dumps(answer).encode()))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, OSError, asyncio.CancelledError):
             pass
@@ -246,6 +272,8 @@
                 seen = [it for rev, key, it in self.history
                         if rev > after and key.startswith(prefix)]
                 left = ends - time.monotonic()
+                if self.up and after > self.rev:
+                    return 410, {}
                 if self.up and (seen or left <= 0):
                     return 200, {'events': seen, 'current_rev': self.rev}
                 if writer.transport.is_closing():
@@ -395,8 +423,9 @@
         return ('%s by %s\n' % (request, self.id)).encode() * 8
 
 
-def config(version, routes, services):
-    return {'config_version': '%08x' % version,
+def config(version, routes, services, tenants=None):
+    """Returns a config; `tenants` are rows of name and keys."""
+    made = {'config_version': '%08x' % version,
             'routes': {'columns': ['name', 'hostname', 'prefix', 'service', 'type', 'timeout_ms',
                                    'target_latency_ms', 'max_attempts', 'priority',
                                    'session_affinity'],
@@ -406,6 +435,9 @@
                          'rows': [[it, '/health', 360, 3, 13] for it in services]},
             'limits': {'max_header_bytes': 16384, 'max_body_bytes': 67108864,
                        'header_timeout_ms': 3000, 'idle_timeout_ms': 15000}}
+    if tenants is not None:
+        made['tenants'] = {'columns': ['name', 'api_keys'], 'rows': tenants}
+    return made
 
 
 class Entry:
@@ -420,7 +452,8 @@
 
     def settings(self):
         ports = self.fleet.ports
-        return json.dumps({
+        bounds = self.fleet.bounds
+        made = {
             'entry': {'id': self.name, 'zone': self.zone, 'region': ZONES[self.zone]},
             'zones': ZONES,
             'listen': {'callers': '%s:%d' % (self.ip, ports['callers']),
@@ -430,11 +463,18 @@
                        'metrics_port': ports['metrics']},
             'store': {'address': '%s:%d' % (self.fleet.store.host, self.fleet.store.port)},
             'limits': {'descriptors': 4100},
-            'bounds': {'extra_attempt_ratio': BOUNDS['retry_budget_ratio'],
-                       'extra_attempt_slack': BOUNDS['budget_slack'],
-                       'stop_s': BOUNDS['grace_s'], 'store_settle_ms': BOUNDS['stability_ms'],
-                       'apply_ms': BOUNDS['config_apply_ms'], 'drain_ms': BOUNDS['drain_ms'],
-                       'look_up_ttl_s': BOUNDS['ttl_max_s']}})
+            'bounds': {'extra_attempt_ratio': bounds['retry_budget_ratio'],
+                       'extra_attempt_slack': bounds['budget_slack'],
+                       'stop_s': bounds['grace_s'], 'store_settle_ms': bounds['stability_ms'],
+                       'apply_ms': bounds['config_apply_ms'], 'drain_ms': bounds['drain_ms'],
+                       'look_up_ttl_s': bounds['ttl_max_s']}}
+        if bounds.get('strict_revoke'):
+            made['bounds']['revocation_bound_ms'] = bounds['revoke_ms']
+        if bounds.get('quota_window_s'):
+            made['bounds'].update(allowance_window_s=bounds['quota_window_s'],
+                                  allowance_overshoot=bounds['quota_overshoot'],
+                                  allowance_slack=bounds['quota_slack'])
+        return json.dumps(made)
 
     def start(self):
         path = os.path.join(self.fleet.folder, self.name + '.json')
@@ -482,7 +522,8 @@
 class Fleet:
     """The entries of a case, with the folder for their settings and logs."""
 
-    def __init__(self, record, store, program=PROGRAM):
+    def __init__(self, record, store, program=PROGRAM, bounds=BOUNDS):
+        self.bounds = bounds
         if not os.path.exists(program):
             raise Unusable(program + ' is missing')
         self.record = record
@@ -493,18 +534,19 @@
         self.entries = []
         self.ports = {}
 
-    def add(self, zones):
+    def add(self, zones, started=None):
+        """Makes entries, and starts the first `started` of them; all if it isn't given."""
         self.entries = [Entry(self, n + 1, zone) for n, zone in enumerate(zones)]
         ips = [it.ip for it in self.entries]
         for name in ('callers', 'look_ups', 'readiness', 'peer', 'metrics'):
             self.ports[name] = free_port(ips)
-        for it in self.entries:
+        for it in self.entries[:started]:
             it.start()
 
     async def wait_ready(self, limit=10):
         ends = time.monotonic() + limit
         for it in self.entries:
-            while not await it.ready():
+            while it.process and not await it.ready():
                 if time.monotonic() > ends:
                     raise Unusable(it.name + ' is not ready')
                 await asyncio.sleep(0.1)
@@ -541,13 +583,15 @@
             self.streams[1].close()
             self.streams = None
 
-    async def send(self, method, target, body=b'', limit_ms=2500, key=None):
+    async def send(self, method, target, body=b'', limit_ms=2500, key=None, api_key=None):
         """Sends one request. Returns (request id, status or None, fields, body)."""
         request = '%016x' % random.getrandbits(64)
         head = '%s %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n' % (
             method, target, request, limit_ms)
         if key is not None:
             head += 'Cookie: X-Affinity-Key=%s\r\n' % key
+        if api_key is not None:
+            head += 'Authorization: Bearer %s\r\n' % api_key
         if method != 'GET':
             head += 'Content-Length: %d\r\n' % len(body)
         status, fields, answer = None, {}, b''
