--- a/review/8/case.py
+++ b/review/8/case.py
@@ -125,7 +125,7 @@
         fleet.add(['nord-a', 'plaines-a', 'nord-b'])
         await fleet.wait_ready()
         tasks = [asyncio.ensure_future(send_orders(record, fleet.entries[n % 3], n, stop, outcomes))
-                 for n in range(18)]
+                 for n in range(30)]
         await asyncio.sleep(BOUNDS['stability_ms'] / 1000 + 1)
         if trouble:
             leaving.link.cut_from = time.monotonic()
