Test: move the fixture of client_test into a header

Cause: two more test files of `upstreams` need it, for the ends of connections. Bodies and checks of the tests are unchanged.

--- a/src/upstreams/client_test.cpp
+++ b/src/upstreams/client_test.cpp
@@ -1,8 +1,7 @@
-#include <map>
+#include <string>
+#include <vector>
 
-#include "../testing/loopback.hpp"
-#include "../testing/manual_timer_service.hpp"
-#include "fuchsiaproxy/upstreams/client.hpp"
+#include "client_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -15,124 +14,6 @@
 namespace
 {
 
-std::string answer_text(std::string const& fields, std::string const& body = {},
-                        std::string const& status = "200 OK")
-{
-    return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n" + body;
-}
-
-std::string const hello = answer_text("Content-Length: 5\r\n", "hello");
-
-/// Body that the test provides piece by piece.
-class scripted_body final : public body_source
-{
-public:
-    std::optional<std::uint64_t> body_length(base::attempt_id) override
-    {
-        return length;
-    }
-    body_piece body_at(base::attempt_id, std::uint64_t offset) override
-    {
-        auto const rest = std::string_view(text).substr(static_cast<std::size_t>(offset));
-        return body_piece{rest, ended};
-    }
-    std::string text;
-    bool ended = true;
-    std::optional<std::uint64_t> length;
-};
-
-/// Client with a fake clock and one raw upstream; records the events of its attempts.
-struct client_fixture : attempt_events
-{
-    explicit client_fixture(client_settings limits = {}) : it(io, timers, buffers, limits) {}
-
-    void attempt_head(base::attempt_id id, answer_head const& head) override
-    {
-        heads[id] = head;
-        if (reads_body)
-        {
-            attempts[id]->forward_until(base::time_point::max());
-            take(id);
-        }
-    }
-    void attempt_readable(base::attempt_id id) override
-    {
-        take(id);
-    }
-    void attempt_finished(base::attempt_id id, attempt_report const& report) override
-    {
-        CHECK(reports.emplace(id, report).second);
-    }
-
-    void take(base::attempt_id id)
-    {
-        for (auto part = attempts[id]->part(); !part.data.empty(); part = attempts[id]->part())
-        {
-            texts[id] += part.data;
-            attempts[id]->consume(part.data.size());
-        }
-    }
-
-    base::attempt_id start(std::string const& method = "GET", body_source* body = nullptr)
-    {
-        attempt_request request;
-        request.id = base::attempt_id(++last);
-        request.at = upstream.at();
-        request.method = method;
-        request.target = "/a";
-        request.fields.add("Host", "h");
-        request.deadline = timers.now() + 2s;
-        request.idempotent = method == "GET" || method == "HEAD";
-        request.shed_statuses = {503};
-        request.body = body;
-        auto const id = request.id;
-        attempts[id] = it.start(std::move(request), *this);
-        return id;
-    }
-
-    /// Waits until the upstream's connection `n` has received a whole head, and returns it.
-    raw_peer& peer(std::size_t n)
-    {
-        CHECK(until([&]()
-                    { return upstream.peers.size() > n && upstream.peers[n]->has("\r\n\r\n"); }));
-        return *upstream.peers.at(n);
-    }
-
-    attempt_report const& report(base::attempt_id id)
-    {
-        CHECK(until([&]() { return reports.count(id) == 1; }));
-        return reports[id];
-    }
-
-    /// Runs one complete exchange on the connection `n`.
-    void complete_one(std::size_t n = 0)
-    {
-        auto const id = start();
-        auto& at = peer(n);
-        at.clear();
-        at.send(hello);
-        CHECK(report(id).result == attempt_result::completed);
-    }
-
-    template <class Condition>
-    bool until(Condition condition)
-    {
-        return testing::run_until(io, condition);
-    }
-
-    boost::asio::io_context io;
-    testing::manual_timer_service timers;
-    http::buffer_pool buffers{100};
-    testing::raw_listener upstream{io};
-    bool reads_body = true;
-    std::uint64_t last = 0;
-    std::map<base::attempt_id, answer_head> heads;
-    std::map<base::attempt_id, std::string> texts;
-    std::map<base::attempt_id, attempt_report> reports;
-    client it;
-    std::map<base::attempt_id, std::shared_ptr<attempt>> attempts;
-};
-
 struct answer_case
 {
     char const* name;
@@ -208,8 +89,8 @@
         }
         CHECK_TEXT(path.report(id).result == it.result, it.name);
         testing::run_ready(path.io);
-        LONGS_EQUAL_TEXT(it.reused ? 1 : 0, path.it.idle_connections(), it.name);
-        LONGS_EQUAL_TEXT(it.reused ? 1 : 0, path.it.connections(), it.name);
+        LONGS_EQUAL_TEXT(it.reused ? 1 : 0, path.it->idle_connections(), it.name);
+        LONGS_EQUAL_TEXT(it.reused ? 1 : 0, path.it->connections(), it.name);
         LONGS_EQUAL_TEXT(0, path.buffers.in_use(), it.name);
         if (it.result == completed && path.heads[id].content_length == 5U)
         {
@@ -240,7 +121,7 @@
     path.peer(0).send(answer_text("Content-Length: 5\r\n"));
     CHECK(path.report(id).result == attempt_result::completed);
     CHECK(path.heads[id].content_length == 5U);
-    LONGS_EQUAL(1, path.it.idle_connections());
+    LONGS_EQUAL(1, path.it->idle_connections());
 }
 
 // Guards against further requests to an upstream that has stated that it is leaving.
@@ -267,7 +148,7 @@
     auto const id = path.start("POST");
     CHECK(path.report(id).result == attempt_result::connect_failed);
     LONGS_EQUAL(0, path.report(id).bytes_sent);
-    LONGS_EQUAL(0, path.it.connections());
+    LONGS_EQUAL(0, path.it->connections());
 }
 
 // Guards against a request that is sent after its deadline because the process was suspended.
@@ -286,14 +167,14 @@
             CHECK(path.report(id).result == attempt_result::not_sent);
             CHECK(path.until([&]() { return path.upstream.peers.size() == 1; }));
             CHECK_EQUAL(std::string(), path.upstream.peers[0]->text());
-            LONGS_EQUAL(1, path.it.counters().late);
+            LONGS_EQUAL(1, path.it->counters().late);
         }
     }
     attempt_request late;
     late.id = base::attempt_id(100);
     late.at = path.upstream.at();
     late.deadline = path.timers.now();
-    path.attempts[late.id] = path.it.start(late, path);
+    path.attempts[late.id] = path.it->start(late, path);
     CHECK(path.report(late.id).result == attempt_result::not_sent);
     LONGS_EQUAL(0, path.report(late.id).bytes_sent);
 }
@@ -307,15 +188,15 @@
     path.peer(1);
     path.peer(0).send(hello);
     CHECK(path.report(first).result == attempt_result::completed);
-    LONGS_EQUAL(1, path.it.idle_connections());
+    LONGS_EQUAL(1, path.it->idle_connections());
     path.timers.advance(1999ms);
     testing::run_ready(path.io);
     LONGS_EQUAL(0, path.reports.count(second));
     path.timers.advance(1ms);
     CHECK(path.report(second).result == attempt_result::timed_out);
     CHECK(path.report(second).bytes_sent > 0);
-    LONGS_EQUAL(0, path.it.connections());
-    LONGS_EQUAL(1, path.it.counters().closed_after_failure);
+    LONGS_EQUAL(0, path.it->connections());
+    LONGS_EQUAL(1, path.it->counters().closed_after_failure);
 }
 
 // Guards against an attempt that never ends because the upstream stalls within the body, where the
@@ -403,7 +284,7 @@
             closes ? old.close() : old.send(answer_text("Content-Length: 5\r\n", "wrong"));
             if (seen)
             {
-                CHECK(one.until([&]() { return one.it.connections() == 0; }));
+                CHECK(one.until([&]() { return one.it->connections() == 0; }));
             }
             else if (!closes)
             {
@@ -414,7 +295,7 @@
             one.peer(1).send(hello);
             CHECK(one.report(id).result == attempt_result::completed);
             CHECK_EQUAL(std::string("hello"), one.texts[id]);
-            LONGS_EQUAL(1, one.it.counters().stale);
+            LONGS_EQUAL(1, one.it->counters().stale);
         }
     }
 }
@@ -444,11 +325,11 @@
     auto const order = path.start("POST");
     path.peer(1).send(hello);
     path.report(order);
-    LONGS_EQUAL(2, path.it.idle_connections());
+    LONGS_EQUAL(2, path.it->idle_connections());
     path.timers.advance(1100ms);
     path.start("GET");
-    LONGS_EQUAL(2, path.it.counters().connects);
-    LONGS_EQUAL(2, path.it.counters().reused);
+    LONGS_EQUAL(2, path.it->counters().connects);
+    LONGS_EQUAL(2, path.it->counters().reused);
 }
 
 // Guards against pools that exceed their connection limit or never close idle connections.
@@ -461,19 +342,19 @@
     auto const second = small.start();
     auto const third = small.start();
     CHECK(small.report(third).result == attempt_result::not_sent);
-    LONGS_EQUAL(1, small.it.counters().pool_full);
+    LONGS_EQUAL(1, small.it->counters().pool_full);
     small.peer(0).send(hello);
     small.peer(1).send(hello);
     small.report(first);
     small.report(second);
-    LONGS_EQUAL(2, small.it.idle_connections());
+    LONGS_EQUAL(2, small.it->idle_connections());
     small.timers.advance(2s);
     auto const fresh = small.start("POST"); // Replaces an idle connection.
     small.peer(2).send(hello);
     small.report(fresh);
-    LONGS_EQUAL(2, small.it.connections());
+    LONGS_EQUAL(2, small.it->connections());
     small.timers.advance(31s);
-    LONGS_EQUAL(0, small.it.connections());
+    LONGS_EQUAL(0, small.it->connections());
 }
 
 // Guards against bodies that are truncated, duplicated or framed wrongly when sent to the upstream.
@@ -498,7 +379,7 @@
         CHECK_EQUAL(counted, peer.has("Content-Length: 10\r\n"));
         peer.send(hello);
         CHECK(one.report(id).result == attempt_result::completed);
-        LONGS_EQUAL(1, one.it.idle_connections());
+        LONGS_EQUAL(1, one.it->idle_connections());
     }
 }
 
@@ -512,5 +393,5 @@
     path.peer(0).send(answer_text("Content-Length: 5\r\n", "hello", "413 Too Large"));
     CHECK(path.report(id).result == attempt_result::completed);
     LONGS_EQUAL(413, path.report(id).status);
-    LONGS_EQUAL(0, path.it.connections());
+    LONGS_EQUAL(0, path.it->connections());
 }
