Refuse deeply nested records instead of ending the process

Cause: `unsigned_of` and `ms_of` printed the rejected value into their message. nlohmann's `dump` recurses once per level, and a value of 400 KB has 200,000 of them: the stack of the control thread overflowed, which no handler catches. Copying a value, as is done with each cell of a configuration, recurses in the same way.

Ruled out: the parser, which is iterative, and the destructor: both bear a depth of 500,000 on a stack of 256 KiB.

Change: package `encoding` has `parse_json`, which refuses malformed text and more than 32 levels, and the structure check of CBOR that the links between entries had; records, configurations, settings, answers of the store, load messages and the logs read by `fuchsiactl` go through them. Messages name key and type; they quote nothing.

Evidence, before: `platform_test.nested_records` SIGSEGV, and a message of 100,000 characters; `gossip_test.load_codec` SIGSEGV on a stack of 256 KiB (it passed on 8 MiB, so a datagram alone did not end a process here).

--- a/src/peers/cbor_structure.cpp
+++ b/src/encoding/cbor_structure.cpp
@@ -1,11 +1,11 @@
-#include "cbor_structure.hpp"
+#include "fuchsiaproxy/encoding/cbor_structure.hpp"
 
 #include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
 
-namespace fuchsiaproxy::peers
+namespace fuchsiaproxy::encoding
 {
 namespace
 {
@@ -276,4 +276,4 @@
     return structure_reader(bytes).run();
 }
 
-} // namespace fuchsiaproxy::peers
+} // namespace fuchsiaproxy::encoding
--- a/src/gossip/load_codec.cpp
+++ b/src/gossip/load_codec.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "fuchsiaproxy/encoding/cbor_structure.hpp"
 #include "fuchsiaproxy/gossip/load_exchange.hpp"
 
 namespace fuchsiaproxy::gossip
@@ -223,6 +224,11 @@
 
 base::result<steering::peer_load> parse_load(std::string_view bytes)
 {
+    auto const structure = encoding::check_structure(bytes);
+    if (!structure)
+    {
+        return structure.error();
+    }
     try
     {
         auto const message = json::from_cbor(bytes.begin(), bytes.end());
--- a/src/gossip/load_codec_test.cpp
+++ b/src/gossip/load_codec_test.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../testing/small_stack.hpp"
+
 #include "fuchsiaproxy/gossip/load_exchange.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -264,3 +266,26 @@
     load.upstreams[0].open_work = 800ms;
     LONGS_EQUAL(464, gossip::to_cbor(load).size());
 }
+
+// Guards against a datagram of another sender that ends the process: nlohmann's CBOR reader
+// recurses once per level, and a datagram holds 16,384 of them.
+TEST(load_codec, deeply_nested_messages_are_rejected)
+{
+    constexpr std::size_t largest_datagram = 16384;
+    std::string const arrays(largest_datagram, '\x81');
+    std::string maps;
+    while (maps.size() < largest_datagram)
+    {
+        maps += "\xa1\x60"; // A map with one key, the empty string.
+    }
+    std::size_t rejected = 0;
+    testing::run_on_small_stack(
+        [&]()
+        {
+            for (auto const& nested : {arrays, maps, "\x85\x03" + arrays})
+            {
+                rejected += gossip::parse_load(nested) ? 0 : 1;
+            }
+        });
+    LONGS_EQUAL(3, rejected);
+}
--- a/src/peers/cbor_structure.hpp
+++ b/src/include/fuchsiaproxy/encoding/cbor_structure.hpp
@@ -1,12 +1,12 @@
-#ifndef FUCHSIAPROXY_PEERS_CBOR_STRUCTURE_HPP
-#define FUCHSIAPROXY_PEERS_CBOR_STRUCTURE_HPP
+#ifndef FUCHSIAPROXY_ENCODING_CBOR_STRUCTURE_HPP
+#define FUCHSIAPROXY_ENCODING_CBOR_STRUCTURE_HPP
 
 #include <cstddef>
 #include <string_view>
 
 #include "fuchsiaproxy/base/error.hpp"
 
-namespace fuchsiaproxy::peers
+namespace fuchsiaproxy::encoding
 {
 
 /// Result of the structure check.
@@ -26,6 +26,6 @@
 /// the stack on deeply nested input. Thread safe.
 base::result<cbor_structure> check_structure(std::string_view bytes);
 
-} // namespace fuchsiaproxy::peers
+} // namespace fuchsiaproxy::encoding
 
 #endif
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -8,7 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cbor_structure.hpp"
+#include "fuchsiaproxy/encoding/cbor_structure.hpp"
 #include "message_fields.hpp"
 
 namespace fuchsiaproxy::peers
@@ -18,6 +18,7 @@
 
 using base::error_kind;
 using base::make_error;
+using encoding::check_structure;
 using messages::request_state;
 using nlohmann::json;
 
--- a/src/peers/codec_test.cpp
+++ b/src/peers/codec_test.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cbor_structure.hpp"
+#include "fuchsiaproxy/encoding/cbor_structure.hpp"
 #include "message_samples.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -168,8 +168,8 @@
 // Guards against a stack overflow in the recursive CBOR reader on deeply nested input.
 TEST(codec, depth_is_limited_before_the_reader_runs)
 {
-    CHECK(peers::check_structure(nested_arrays(8)).has_value());
-    auto const too_deep = peers::check_structure(nested_arrays(9));
+    CHECK(encoding::check_structure(nested_arrays(8)).has_value());
+    auto const too_deep = encoding::check_structure(nested_arrays(9));
     CHECK(!too_deep.has_value());
     STRCMP_CONTAINS("too deep", too_deep.error().message.c_str());
 }
--- a/src/telemetry/request_history.cpp
+++ b/src/telemetry/request_history.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "fuchsiaproxy/encoding/json_text.hpp"
+
 namespace fuchsiaproxy::telemetry
 {
 namespace
@@ -173,10 +175,9 @@
     while (std::getline(in, line))
     {
         auto const begin = line.find('{');
-        auto const parsed = begin == std::string::npos
-                                ? json()
-                                : json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin),
-                                              line.end(), nullptr, false);
+        auto const read = encoding::parse_json(
+            begin == std::string::npos ? std::string_view() : std::string_view(line).substr(begin));
+        auto const& parsed = read ? read.value() : json();
         if (!parsed.is_object() || !parsed.contains("event") || !parsed.contains("time_ms"))
         {
             continue;
