Do not take a cut watch for an outage of the store

Cause: the follower reported each failed call as an outage, and after an outage a record that the listing lacks is kept for 2.2 s.

Ruled out: late notice, as the listing without the upstream follows the cut within 0.1 s; and the length of the grace period, which records need that expired in a real outage.

Change: the follower measures the longest time without an answer to any call of the process, and states it with the end of an interruption. Missing records are kept only after 2.5 s: one of a live upstream bears 3 s.

Records that expired in an outage of 4 s are still kept.

--- a/src/include/fuchsiaproxy/metadata/key_value_store.hpp
+++ b/src/include/fuchsiaproxy/metadata/key_value_store.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,26 @@
     base::duration ttl{};
 };
 
+/// What the end of a call says of the store and of the connection.
+enum class call_outcome
+{
+    /// The store was available, also if it refused the call for what it asks for.
+    answered,
+    /// The store was unavailable or had no capacity, or the call was not sent.
+    refused,
+    /// The call was sent and its connection brought no answer.
+    unanswered
+};
+
+/// End of a call to the store.
+struct call_end
+{
+    base::time_point sent_at;
+    call_outcome outcome = call_outcome::refused;
+    /// Era that the answer stated, if any.
+    std::optional<store_era> era{};
+};
+
 /// Key-value store with a revision for the whole store, listings by prefix, watches and leases.
 ///
 /// Errors: `store_unavailable` if the call had no effect, `store_answer_unknown` if it may have
--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -15,6 +15,21 @@
 namespace fuchsiaproxy::metadata
 {
 
+/// What a follower knows of a time in which its calls failed. That alone does not show that the
+/// store was away: a watch that waits may be cut, and a connection may fall silent, while the store
+/// serves all others.
+struct store_interruption
+{
+    /// When the store was last known to be unreachable: the start of the last failed listing; if
+    /// only the watch failed, its end, or the time at which it should have been answered; no later
+    /// than the end of `longest_silence`.
+    base::time_point last_unavailable_at;
+    /// Longest time without an answer of the store to any call of this process since the follower's
+    /// last successful call; the store was away for no longer. The largest duration if the store
+    /// has never answered.
+    base::duration longest_silence = base::duration::max();
+};
+
 /// Callbacks of a `store_follower`.
 class follower_events
 {
@@ -28,13 +43,11 @@
     /// One key was written or removed.
     virtual void changed(key_value const& it) = 0;
 
-    /// The store has become unreachable.
+    /// A call of the follower has failed, so that changes may go unnoticed.
     virtual void store_lost(std::string const& why) = 0;
 
-    /// The store is reachable again. It was last known to be unreachable at `last_unavailable_at`:
-    /// the start of the last failed listing; if only the watch failed, its end, or the time at
-    /// which it should have been answered.
-    virtual void store_regained(base::time_point last_unavailable_at) = 0;
+    /// The calls of the follower succeed again. A listing follows.
+    virtual void store_regained(store_interruption const& it) = 0;
 
     /// A watch was abandoned at position `known`, because another follower had reached
     /// `peer_position`.
@@ -129,10 +142,9 @@
     /// proxy that still answers them.
     void on_peer_position(store_position seen);
 
-    /// Reports the end of any call to the store, also of calls by others: the era that its answer
-    /// stated, if any, and the time at which it was sent. If the era is later than the one known,
-    /// the keys are listed at once, and answers to earlier calls are ignored.
-    void on_store_answer(std::optional<store_era> era, base::time_point sent_at);
+    /// Reports the end of any call to the store, also of calls by others. If it states a later era
+    /// than the one known, the keys are listed at once, and answers to earlier calls are ignored.
+    void on_call_ended(call_end const& it);
 
     /// Replaces `follower_settings::watch_wait`. A watch in progress is abandoned if it has not
     /// been answered after the new wait and the margin. Precondition: `wait > 0`.
--- a/src/include/fuchsiaproxy/steering/director_settings.hpp
+++ b/src/include/fuchsiaproxy/steering/director_settings.hpp
@@ -55,6 +55,11 @@
     /// while views of the fleet differ.
     double cold_rate_fraction = 0.7;
 
+    /// Outage of the store from which on records may have expired in it. Upstreams renew theirs
+    /// every 1.5 s, and a record expires three intervals after the last renewal, so one of a live
+    /// upstream bears 3 s without the store. It exceeds the time for which silent connections
+    /// delay an answer: a renewal period, a renewal's limit and a retry.
+    base::duration min_expiry_outage = std::chrono::milliseconds(2500);
     /// Time after the store's recovery within which records that expired during its outage may
     /// reappear. The platform states about 2 s.
     base::duration expiry_grace_period = std::chrono::milliseconds(2200);
--- a/src/include/fuchsiaproxy/steering/records.hpp
+++ b/src/include/fuchsiaproxy/steering/records.hpp
@@ -110,16 +110,17 @@
     std::shared_ptr<configuration const> it;
 };
 
-/// Event: this entry can't reach the store.
+/// Event: this entry no longer follows the store, as a call has failed.
 struct store_lost
 {
 };
 
-/// Event: this entry can reach the store again. The store was last known to be unreachable at
-/// `last_unavailable_at`.
+/// Event: this entry follows the store again. The store was last known to be unreachable at
+/// `last_unavailable_at`, and was away for no longer than `longest_silence`.
 struct store_regained
 {
     base::time_point last_unavailable_at;
+    base::duration longest_silence = base::duration::max();
 };
 
 /// Event: the store has returned from an older copy; a listing follows. It was last known not to
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -74,12 +74,17 @@
         limit_watch_lag();
     }
 
-    void on_store_answer(std::optional<store_era> era, base::time_point sent_at)
+    void on_call_ended(call_end const& it)
     {
+        if (it.outcome == call_outcome::answered)
+        {
+            end_silence();
+        }
+        auto const& era = it.era;
         if (!era || *era <= era_.value_or(store_era()))
         {
             // Also a call that failed shows that the store was not known to have returned.
-            last_older_at_ = std::max(last_older_at_, sent_at);
+            last_older_at_ = std::max(last_older_at_, it.sent_at);
             era_ = era ? era_.value_or(*era) : era_;
             return;
         }
@@ -348,10 +353,26 @@
     void on_success()
     {
         backoff_.reset();
+        end_silence();
         if (!std::exchange(reachable_, true))
         {
-            events_.store_regained(last_unavailable_at_);
+            events_.store_regained(
+                {std::min(last_unavailable_at_, silence_ended_at_), longest_silence_});
+        }
+        longest_silence_ = {};
+    }
+
+    /// Records an answer of the store.
+    void end_silence()
+    {
+        auto const now = timers_.now();
+        auto const silence = answered_at_ ? now - *answered_at_ : base::duration::max();
+        if (silence >= longest_silence_)
+        {
+            longest_silence_ = silence;
+            silence_ended_at_ = now;
         }
+        answered_at_ = now;
     }
 
     void on_failure(base::error const& why, base::time_point last_unavailable_at)
@@ -400,6 +421,11 @@
     /// Start of the listing in progress, and last time the store was known to be unreachable.
     base::time_point listing_started_at_{};
     base::time_point last_unavailable_at_{};
+    /// Latest answer of the store to any call, and the longest time between two answers since the
+    /// last successful call of the follower.
+    std::optional<base::time_point> answered_at_;
+    base::duration longest_silence_{};
+    base::time_point silence_ended_at_{};
     bool reachable_ = true;
     bool stopped_ = false;
 };
@@ -425,9 +451,9 @@
     impl_->on_peer_position(seen);
 }
 
-void store_follower::on_store_answer(std::optional<store_era> era, base::time_point sent_at)
+void store_follower::on_call_ended(call_end const& it)
 {
-    impl_->on_store_answer(era, sent_at);
+    impl_->on_call_ended(it);
 }
 
 void store_follower::set_watch_wait(base::duration wait)
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -82,10 +82,11 @@
     {
         reachability.push_back(false);
     }
-    void store_regained(base::time_point at) override
+    void store_regained(metadata::store_interruption const& it) override
     {
         reachability.push_back(true);
-        last_unavailable_at = at;
+        last_unavailable_at = it.last_unavailable_at;
+        longest_silence = it.longest_silence;
     }
 
     int listings = 0;
@@ -106,6 +107,7 @@
     }
     std::vector<bool> reachability;
     base::time_point last_unavailable_at{};
+    base::duration longest_silence{};
     std::vector<std::uint64_t> restored;
     base::time_point restored_after{};
     store_position position;
@@ -157,9 +159,14 @@
     {
         store.take_list().done(page({item("a", 1)}, false, revision, era));
     }
+    void end_call(metadata::call_outcome outcome)
+    {
+        follower->on_call_ended({timers.now(), outcome});
+    }
     void state_era(std::uint64_t era)
     {
-        follower->on_store_answer(metadata::store_era(era), timers.now());
+        follower->on_call_ended(
+            {timers.now(), metadata::call_outcome::answered, metadata::store_era(era)});
     }
 };
 
@@ -197,6 +204,57 @@
     LONGS_EQUAL(1, store.lists.size());
 }
 
+// Guards against a cut watch that is taken for an outage: the store answers all other calls, so no
+// record can have expired, and what the next listing lacks was removed.
+TEST(store_follower, a_cut_watch_is_an_interruption_as_long_as_no_call_was_answered)
+{
+    list_at(10);
+    for (int n = 0; n < 12; ++n)
+    {
+        timers.advance(1200ms);
+        end_call(metadata::call_outcome::answered);
+    }
+    timers.advance(300ms);
+    store.take_watch().done(base::error{base::error_kind::store_answer_unknown, "reset"});
+    timers.advance(settings.max_backoff);
+    auto const listed_at = timers.now();
+    list_at(12);
+    CHECK(events.reachability == std::vector<bool>({false, true}));
+    CHECK(events.longest_silence == 1200ms);
+    CHECK(events.last_unavailable_at < listed_at);
+}
+
+// Guards against an outage that passes for an interruption because a call was answered after it,
+// before the next listing, and against one that is counted again later.
+TEST(store_follower, an_outage_is_measured_although_other_calls_are_answered_first)
+{
+    list_at(10);
+    auto const lost = timers.now();
+    timers.advance(1s);
+    end_call(metadata::call_outcome::refused);
+    timers.advance(4s);
+    store.take_watch().done(unavailable());
+    end_call(metadata::call_outcome::answered);
+    auto const regained = timers.now();
+    timers.advance(settings.max_backoff);
+    list_at(12);
+    CHECK(events.longest_silence == regained - lost);
+    CHECK(events.last_unavailable_at == regained);
+    store.take_watch().done(unavailable());
+    timers.advance(settings.max_backoff);
+    list_at(13);
+    CHECK(events.longest_silence == settings.max_backoff);
+}
+
+// Guards against upstreams that are dropped because an entry has not heard from the store at all.
+TEST(store_follower, a_store_that_has_never_answered_was_away_for_an_unknown_time)
+{
+    store.take_list().done(unavailable());
+    timers.advance(settings.max_backoff);
+    list_at(10);
+    CHECK(events.longest_silence == base::duration::max());
+}
+
 // Guards against one call to the store per change when keys change often.
 TEST(store_follower, fetches_changes_in_batches)
 {
@@ -433,7 +491,7 @@
 {
     list_at(10, 3);
     timers.advance(15s);
-    follower->on_store_answer(std::nullopt, timers.now()); // A failed call.
+    end_call(metadata::call_outcome::unanswered);
     auto const failed = timers.now();
     timers.advance(1s);
     state_era(4);
--- a/src/metadata/store_proofs_test.cpp
+++ b/src/metadata/store_proofs_test.cpp
@@ -54,7 +54,7 @@
         ++changes;
     }
     void store_lost(std::string const&) override {}
-    void store_regained(base::time_point) override {}
+    void store_regained(metadata::store_interruption const&) override {}
     void watch_given_up(metadata::store_position, metadata::store_position) override {}
     void store_restored(metadata::store_era, base::time_point) override {}
     void caught_up(metadata::store_position) override {}
--- a/src/steering/director.cpp
+++ b/src/steering/director.cpp
@@ -14,7 +14,8 @@
 
 director::state::state(director_settings const& it, director_identity identity, std::uint64_t seed)
     : settings(it), self(std::move(identity)),
-      removal_grace(settings.expiry_grace_period, settings.expiry_grace_limit),
+      removal_grace(settings.expiry_grace_period, settings.expiry_grace_limit,
+                    settings.min_expiry_outage),
       zones(removal_grace), upstreams(self.zones, removal_grace), entries(self, removal_grace),
       round_trips(settings, self), upstream_selector(settings, entries, round_trips, seed),
       random(seed), load_sequence(allowances::first_sequence(self.process_started_ms)),
--- a/src/steering/director_control.cpp
+++ b/src/steering/director_control.cpp
@@ -257,7 +257,7 @@
         }
         void operator()(store_regained const& it) const
         {
-            my.removal_grace.store_regained(it.last_unavailable_at, now);
+            my.removal_grace.store_regained(it.last_unavailable_at, it.longest_silence, now);
             my.upstreams.store_regained(now);
             my.entries.store_regained(now);
         }
--- a/src/steering/director_control_test.cpp
+++ b/src/steering/director_control_test.cpp
@@ -103,6 +103,42 @@
     CHECK(refused() == error_kind::no_upstream);
 }
 
+// Guards against requests to a removed upstream because a watch was cut as it was removed: it got
+// orders until 2.3 s later, and they were cut when it exited.
+TEST(director_control, records_missing_after_a_short_interruption_are_removed_at_once)
+{
+    configure();
+    list_upstreams({"u1"});
+    send_event(store_lost{});
+    now += 100ms;
+    send_event(store_regained{now, 1300ms});
+    send_event(upstreams_listed{});
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+}
+
+// Guards against a removed upstream that stays in use for as long as watches are cut in series.
+TEST(director_control, short_interruptions_do_not_extend_the_grace_period)
+{
+    configure();
+    list_upstreams({"u1"});
+    interrupt_store();
+    auto const regained_at = now;
+    send_event(upstreams_listed{});
+    request("/read/a");
+    CHECK(action<start_attempt>() != nullptr);
+    while (now < regained_at + settings.expiry_grace_period)
+    {
+        now += 500ms;
+        send_event(store_lost{});
+        it.tick(now, out);
+        send_event(store_regained{now, 1200ms});
+        send_event(upstreams_listed{});
+    }
+    request("/read/a");
+    CHECK(refused() == error_kind::no_upstream);
+}
+
 TEST(director_control, records_that_reappear_after_an_outage_are_kept)
 {
     configure();
--- a/src/steering/removal_grace_period.hpp
+++ b/src/steering/removal_grace_period.hpp
@@ -17,8 +17,10 @@
 {
 public:
     /// `grace` is the time after the store's recovery within which records may reappear; `limit`
-    /// caps it, counted from the last time at which the store was known to be unreachable.
-    removal_grace_period(base::duration grace, base::duration limit) : grace_(grace), limit_(limit)
+    /// caps it, counted from the last time at which the store was known to be unreachable. In an
+    /// outage shorter than `min_outage` no record expires.
+    removal_grace_period(base::duration grace, base::duration limit, base::duration min_outage)
+        : grace_(grace), limit_(limit), min_outage_(min_outage)
     {
     }
 
@@ -27,10 +29,16 @@
         reachable_ = false;
     }
 
-    void store_regained(base::time_point last_unavailable_at, base::time_point now)
+    /// See `steering::store_regained`. A record that is missing after a shorter interruption, such
+    /// as a watch that was cut, was removed.
+    void store_regained(base::time_point last_unavailable_at, base::duration longest_silence,
+                        base::time_point now)
     {
         reachable_ = true;
-        kept_until_ = std::min(now + grace_, last_unavailable_at + limit_);
+        if (longest_silence >= min_outage_)
+        {
+            kept_until_ = std::min(now + grace_, last_unavailable_at + limit_);
+        }
     }
 
     /// The store has returned from an older copy. It was last known not to have returned at
@@ -88,6 +96,7 @@
 private:
     base::duration grace_;
     base::duration limit_;
+    base::duration min_outage_;
     bool reachable_ = true;
     bool restored_ = false;
     base::time_point kept_until_ = base::time_point::min();
--- a/src/steering/zone_shares_test.cpp
+++ b/src/steering/zone_shares_test.cpp
@@ -158,7 +158,8 @@
 
 TEST_GROUP(entries_by_zone)
 {
-    removal_grace_period grace{std::chrono::seconds(2), std::chrono::seconds(3)};
+    removal_grace_period grace{std::chrono::seconds(2), std::chrono::seconds(3),
+                               std::chrono::seconds(2)};
     director_identity self = identity_in(east_a);
     entry_view view{self, grace};
 
