Replace a watch beside an unanswered call once the store answers

A watch on a silent connection is given up only after its wait; one that lags behind another entry was replaced by a listing on a connection that had fallen silent with it, which took 1.5 s to fail; and the listing after such a watch did not count as the end of an interruption, so what had expired in an outage was removed at once.

Change: the follower notes a call that was not answered beside its watch. With the next answered call it lists instead of waiting. Before a watch is replaced the idle connections are closed. The listing then ends an interruption like any other.

--- a/src/include/fuchsiaproxy/metadata/key_value_store.hpp
+++ b/src/include/fuchsiaproxy/metadata/key_value_store.hpp
@@ -69,6 +69,8 @@
 {
     base::time_point sent_at;
     call_outcome outcome = call_outcome::refused;
+    /// Whether the call was a watch. Its follower knows of its end, and may have abandoned it.
+    bool is_watch = false;
     /// Era that the answer stated, if any.
     std::optional<store_era> era{};
 };
@@ -107,6 +109,9 @@
     virtual void renew_lease(lease_id lease, lease_handler done) = 0;
     /// Revokes a lease, which removes its keys.
     virtual void end_lease(lease_id lease, done_handler done) = 0;
+
+    /// Makes later calls use new connections, because those open may have become unresponsive.
+    virtual void close_idle_connections() {}
 };
 
 } // namespace fuchsiaproxy::metadata
--- a/src/include/fuchsiaproxy/metadata/store_follower.hpp
+++ b/src/include/fuchsiaproxy/metadata/store_follower.hpp
@@ -46,13 +46,18 @@
     /// A call of the follower has failed, so that changes may go unnoticed.
     virtual void store_lost(std::string const& why) = 0;
 
-    /// The calls of the follower succeed again. A listing follows.
+    /// The calls of the follower succeed again after `store_lost`, or after a watch that was
+    /// abandoned. A listing follows.
     virtual void store_regained(store_interruption const& it) = 0;
 
     /// A watch was abandoned at position `known`, because another follower had reached
     /// `peer_position`.
     virtual void watch_given_up(store_position known, store_position peer_position) = 0;
 
+    /// A watch was abandoned because another call beside it had not been answered. A listing
+    /// follows.
+    virtual void watch_suspected() {}
+
     /// The store has returned from an older copy, as the era in one of its answers shows. It was
     /// last known not to have returned at `last_unavailable_at`. A listing follows.
     virtual void store_restored(store_era era, base::time_point last_unavailable_at) = 0;
@@ -108,6 +113,8 @@
     std::uint64_t lost_histories = 0;
     /// Watches that were abandoned because another follower had reached a later revision.
     std::uint64_t lagging_watches = 0;
+    /// Watches that were abandoned because another call beside them had not been answered.
+    std::uint64_t suspect_watches = 0;
     /// Watches that were abandoned because they were not answered in time.
     std::uint64_t unanswered_watches = 0;
     /// Returns of the store from an older copy.
@@ -144,6 +151,8 @@
 
     /// Reports the end of any call to the store, also of calls by others. If it states a later era
     /// than the one known, the keys are listed at once, and answers to earlier calls are ignored.
+    /// The watch in progress is replaced by a listing once a call is answered after one that was
+    /// not, as its connection may have become unresponsive with the other's.
     void on_call_ended(call_end const& it);
 
     /// Replaces `follower_settings::watch_wait`. A watch in progress is abandoned if it has not
--- a/src/metadata/store_follower.cpp
+++ b/src/metadata/store_follower.cpp
@@ -80,12 +80,17 @@
         {
             end_silence();
         }
+        else
+        {
+            last_unavailable_at_ = std::max(last_unavailable_at_, it.sent_at);
+        }
         auto const& era = it.era;
         if (!era || *era <= era_.value_or(store_era()))
         {
             // Also a call that failed shows that the store was not known to have returned.
             last_older_at_ = std::max(last_older_at_, it.sent_at);
             era_ = era ? era_.value_or(*era) : era_;
+            check_watch(it);
             return;
         }
         if (enter_era(*era) && (watching_ || listing_ || timer_))
@@ -102,6 +107,34 @@
     }
 
 private:
+    /// Replaces the watch in progress by a listing if it was in progress beside a call that was not
+    /// answered, and the store answers others again: what made one connection unresponsive often
+    /// did the same to the others.
+    void check_watch(call_end const& it)
+    {
+        if (it.outcome == call_outcome::unanswered && watching_ && !it.is_watch)
+        {
+            suspect_watch_ = counters_.watches;
+        }
+        if (it.outcome == call_outcome::answered && watching_ &&
+            suspect_watch_ == counters_.watches)
+        {
+            ++counters_.suspect_watches;
+            events_.watch_suspected();
+            abandon_watch();
+        }
+    }
+
+    /// Replaces the watch in progress, whose connection seems unresponsive, by a listing. The store
+    /// may have been away as well, so records that the listing lacks may have expired.
+    void abandon_watch()
+    {
+        end_watch();
+        store_.close_idle_connections();
+        interrupted_ = true;
+        list();
+    }
+
     void next_page(std::string after)
     {
         listing_started_at_ = timers_.now();
@@ -232,10 +265,9 @@
                                         limit_watch_lag();
                                         return;
                                     }
-                                    end_watch();
                                     ++counters_.lagging_watches;
                                     events_.watch_given_up(position_, target);
-                                    list();
+                                    abandon_watch();
                                 });
     }
 
@@ -354,7 +386,8 @@
     {
         backoff_.reset();
         end_silence();
-        if (!std::exchange(reachable_, true))
+        auto const was_reachable = std::exchange(reachable_, true);
+        if (std::exchange(interrupted_, false) || !was_reachable)
         {
             events_.store_regained(
                 {std::min(last_unavailable_at_, silence_ended_at_), longest_silence_});
@@ -410,6 +443,8 @@
     /// Whether the next watch is replaced by a listing.
     bool list_wanted_ = false;
     base::time_point watch_started_at_{};
+    /// Number of the watch that was in progress when a call was not answered; zero if none.
+    std::uint64_t suspect_watch_ = 0;
     /// Wait that the watch in progress was sent with.
     base::duration wait_of_watch_{};
     /// Start of the watch in progress, or of the first call of the listing in progress.
@@ -427,6 +462,8 @@
     base::duration longest_silence_{};
     base::time_point silence_ended_at_{};
     bool reachable_ = true;
+    /// Whether the latest watch was abandoned.
+    bool interrupted_ = false;
     bool stopped_ = false;
 };
 
--- a/src/metadata/store_follower_test.cpp
+++ b/src/metadata/store_follower_test.cpp
@@ -46,6 +46,10 @@
     void grant_lease(base::duration, lease_handler) override {}
     void renew_lease(metadata::lease_id, lease_handler) override {}
     void end_lease(metadata::lease_id, done_handler) override {}
+    void close_idle_connections() override
+    {
+        ++idle_closes;
+    }
 
     listing take_list()
     {
@@ -62,6 +66,7 @@
         return it;
     }
 
+    int idle_closes = 0;
     std::deque<listing> lists;
     std::deque<waiting_watch> watches;
 };
@@ -166,7 +171,7 @@
     void state_era(std::uint64_t era)
     {
         follower->on_call_ended(
-            {timers.now(), metadata::call_outcome::answered, metadata::store_era(era)});
+            {timers.now(), metadata::call_outcome::answered, false, metadata::store_era(era)});
     }
 };
 
@@ -246,6 +251,59 @@
     CHECK(events.longest_silence == settings.max_backoff);
 }
 
+// Guards against a removal that is noticed late because all open connections to the store have
+// fallen silent together: a watch sent on one was noticed only 2.7 s later, and where no other
+// entry had seen a change only with its wait.
+TEST(store_follower, a_watch_beside_an_unanswered_call_is_replaced_once_the_store_answers)
+{
+    list_at(10);
+    auto const suspect = store.take_watch();
+    end_call(metadata::call_outcome::answered);
+    end_call(metadata::call_outcome::refused);
+    end_call(metadata::call_outcome::answered);
+    follower->on_call_ended({timers.now(), metadata::call_outcome::unanswered, true});
+    end_call(metadata::call_outcome::answered);
+    CHECK(store.lists.empty());
+    end_call(metadata::call_outcome::unanswered);
+    CHECK(store.lists.empty()); // The store may be away.
+    end_call(metadata::call_outcome::answered);
+    LONGS_EQUAL(1, store.lists.size());
+    LONGS_EQUAL(1, follower->counters().suspect_watches);
+    suspect.done(metadata::key_value_changes{{item("b", 11)}, position(11)});
+    CHECK(events.changes.empty());
+    list_at(11);
+    end_call(metadata::call_outcome::answered);
+    CHECK(store.lists.empty());
+    LONGS_EQUAL(1, store.watches.size());
+    CHECK(events.longest_silence == 0s);
+}
+
+// Guards against live upstreams that are dropped after an outage in which their records expired, as
+// a watch that is abandoned only after the return has not failed before; and against a listing on
+// another connection that has become unresponsive with that of the watch.
+TEST(store_follower, an_outage_during_an_abandoned_watch_is_reported)
+{
+    for (bool const lags : {true, false})
+    {
+        list_at(10);
+        auto const watch = store.take_watch();
+        timers.advance(1s);
+        auto const sent_at = timers.now();
+        timers.advance(4s);
+        follower->on_call_ended({sent_at, metadata::call_outcome::unanswered});
+        lags ? follower->on_peer_position(position(11))
+             : end_call(metadata::call_outcome::answered);
+        timers.advance(lags ? settings.max_watch_lag : 0s);
+        LONGS_EQUAL(lags ? 1 : 2, store.idle_closes);
+        list_at(12);
+        CHECK(events.reachability == std::vector<bool>{true});
+        CHECK(events.longest_silence == 5s + (lags ? settings.max_watch_lag : 0s));
+        CHECK(events.last_unavailable_at == sent_at);
+        events.reachability.clear();
+        store.take_watch().done(base::error{base::error_kind::history_lost, "410"});
+    }
+}
+
 // Guards against upstreams that are dropped because an entry has not heard from the store at all.
 TEST(store_follower, a_store_that_has_never_answered_was_away_for_an_unknown_time)
 {
