--- a/src/metadata/http_client.cpp
+++ b/src/metadata/http_client.cpp
@@ -226,6 +226,18 @@
         }
     }
 
+    /// Closes the connection of a call that was given up. The kernel does not go on to deliver the
+    /// rest of the call, which would be executed late.
+    static void reset(call_state& call)
+    {
+        if (call.conn)
+        {
+            error_code ignored;
+            call.conn->socket.set_option(tcp::socket::linger(true, 0), ignored);
+        }
+        close(call);
+    }
+
     void admit(call_ptr const& call)
     {
         if (stopped_ || call->finished)
@@ -432,7 +444,7 @@
         if (call->writing)
         {
             call->expired = true;
-            close(*call);
+            reset(*call);
             return;
         }
         finish_expired(call);
@@ -452,7 +464,14 @@
         call->finished = true;
         call->deadline.cancel();
         call->connect_limit.cancel();
-        close(*call);
+        if (out.state == http_call_state::sent_unanswered)
+        {
+            reset(*call);
+        }
+        else
+        {
+            close(*call);
+        }
         active_.erase(call);
         auto const done = std::move(call->done);
         done(std::move(out));
--- a/src/standin/http_client_test.cpp
+++ b/src/standin/http_client_test.cpp
@@ -52,6 +52,37 @@
     }
 };
 
+// Guards against calls that are executed long after they were given up, because the kernel goes on
+// to deliver what it holds of them; and against the loss of one that merely outlives its client, as
+// the end of a lease in a planned stop.
+TEST(http_client, calls_that_are_given_up_are_not_delivered_later)
+{
+    testing::raw_listener raw(io);
+    constexpr std::size_t large_body = 64UL * 1024 * 1024;
+    auto const accepted = [&] { return !raw.peers.empty() && raw.peers.back()->has("\r\n\r\n"); };
+    {
+        metadata::http_client client(io, {"127.0.0.1", raw.port()}, {});
+        start(client, milliseconds(200), large_body);
+        CHECK(testing::run_until(io, accepted));
+        auto& peer = *raw.peers.back();
+        peer.pause(true);
+        wait_for_answers(1);
+        peer.pause(false);
+        CHECK(testing::run_until(io, [&] { return peer.ended(); }));
+        CHECK(peer.was_reset());
+        CHECK(answers[0].state == http_call_state::sent_unanswered);
+    }
+    raw.peers.clear();
+    {
+        metadata::http_client client(io, {"127.0.0.1", raw.port()}, {});
+        start(client);
+        CHECK(testing::run_until(io, accepted));
+    }
+    auto& peer = *raw.peers.back();
+    CHECK(testing::run_until(io, [&] { return peer.ended(); }));
+    CHECK_FALSE(peer.was_reset());
+}
+
 // Guards against a call that waits for a connection beyond its deadline, and against reporting a
 // call as possibly executed although it was never sent.
 TEST(http_client, calls_that_wait_for_a_connection_end_at_their_deadline_unsent)
--- a/src/testing/loopback.hpp
+++ b/src/testing/loopback.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -63,6 +64,11 @@
     {
         return state_->ended;
     }
+    /// Whether the peer has closed the connection with a TCP reset.
+    bool was_reset() const
+    {
+        return state_->reset;
+    }
     std::size_t sent() const
     {
         return state_->sent;
@@ -110,6 +116,7 @@
         std::array<char, 16384> buffer{};
         std::size_t sent = 0;
         bool ended = false;
+        bool reset = false;
         bool send_failed = false;
         bool paused = false;
         bool reading = false;
@@ -135,6 +142,8 @@
                                        it->reading = false;
                                        it->text.append(it->buffer.data(), n);
                                        it->ended = it->ended || ec;
+                                       it->reset =
+                                           it->reset || ec == boost::asio::error::connection_reset;
                                        if (!ec && !it->paused)
                                        {
                                            read(it);
