Do not complete an answer without a length after a failed write

Callers saw (the users, real processes): a part of an answer as the whole, when an upstream answered a long upload at once with a 200 without a length and reset the connection while the upload was being written.

Cause: Linux reports the reset to one call of the socket. The write got it; the next read got the end of the stream, which ends such an answer in an orderly way.

Ruled out: the relay, which forwards what the attempt reports; and reads that come first, which get the reset.

Change: the end of the stream completes such an answer only if no write has failed on its connection.

Evidence, before: `upstreams_test.answers_without_length` and the new test of `relay_test.held_answers` fail, the attempt is `completed`. After: both pass; answers with a length, and orderly ends beside an upload, are still complete.

--- a/src/relay/held_answers_test.cpp
+++ b/src/relay/held_answers_test.cpp
@@ -169,6 +169,28 @@
     CHECK(path.events.finished[0].report.result == attempt_result::completed);
 }
 
+// Guards against a part of an answer that reaches the caller as the whole: the upstream answered an
+// upload at once without a length, and reset its connection while the upload was being written.
+TEST(held_answers, an_answer_without_length_that_is_reset_during_the_upload_is_not_forwarded)
+{
+    path.events.on_request = [this](callers::request_head const& head)
+    { path.attempt(head.id, path.upstream.at(), false); };
+    std::string const first(200'000, 'x'); // More than is buffered before the request is passed on.
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 1000000\r\n\r\n" + first);
+    CHECK(path.until(
+        [&]() { return !path.upstream.peers.empty() && path.upstream.peers[0]->has(first); }));
+    auto& peer = *path.upstream.peers[0];
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhello");
+    CHECK(path.until([&]() { return peer.sent() > 0; }));
+    testing::run_ready(path.io);
+    caller.send(std::string(500'000, 'y'));
+    peer.reset();
+    CHECK(path.until([&]() { return path.events.finished.size() == 1; }));
+    CHECK(path.events.finished[0].report.result == attempt_result::broken);
+    CHECK(path.events.heads.empty());
+    CHECK(caller.text().empty());
+}
+
 // Guards against a request that is held beyond its deadline, and a connection that is used again,
 // when an upstream sends bytes without end that never become a complete answer.
 TEST(held_answers, bytes_without_end_stop_at_the_deadline)
--- a/src/upstreams/running_attempt_answer.cpp
+++ b/src/upstreams/running_attempt_answer.cpp
@@ -61,7 +61,9 @@
         link_->arm_read();
         return false;
     }
-    if (ec == asio::error::eof && until_close_)
+    // A reset during a write is reported to the write only, and further reads report the end of the
+    // stream, so the body may be incomplete.
+    if (ec == asio::error::eof && until_close_ && !write_failed_)
     {
         closed_by_upstream_ = true;
         return false;
