--- a/src/upstreams/connection.cpp
+++ b/src/upstreams/connection.cpp
@@ -31,8 +31,8 @@
     error_code ec;
     socket_.open(at.protocol(), ec);
     socket_.set_option(tcp::no_delay(true), ec);
-    // Any close resets the connection. Otherwise the kernel goes on to deliver the rest of a request
-    // that was given up, also after the end of this process.
+    // Any close resets the connection. Otherwise the kernel goes on to deliver the rest of a
+    // request that was given up, also after the end of this process.
     socket_.set_option(tcp::socket::linger(true, 0), ec);
     socket_.async_connect(at,
                           [self = shared_from_this()](error_code failure)
