--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,86 +1,124 @@
-"""Answers of workers that are silent for some seconds are given up while their entry stops."""
+"""A download that is being read slowly is cut off by the planned stop of its entry."""
 
 import asyncio
 import os
 import signal
+import socket
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins3"))
 
 import bed as beds  # noqa: E402
-from bed import CONNECTION_ERRORS, GRACE_S, HOST, STABILITY_S, Entry, read_body, read_head  # noqa: E402
+from bed import GRACE_S, HOST, STABILITY_S, Entry  # noqa: E402
 from worker import Worker  # noqa: E402
 
-# The time limits of the sheet.
-ORDER_LIMIT_MS = 12_000
-DOWNLOAD_LIMIT_MS = 8_000
-ORDERS = 4
-DOWNLOADS = 4
-ORDER_BYTES = 400
-DOWNLOAD_BYTES = 200_000
-STOP_AFTER_S = 0.8
-# A worker begins its answer, falls silent, and then sends the rest of it.
-SILENCE_S = 5.3
-USUAL_PAUSE_S = 0.3
-
-
-class PausingWorker(Worker):
-    """Sends the second half of each answer after a pause."""
-
-    async def serve_one(self, reader, writer):
-        _, fields = await read_head(reader)
-        await read_body(reader, fields)
-        attempt = fields["x-attempt-id"]
-        began = time.monotonic()
-        self.runs.append((began, attempt))
-        self.bed.record(f"{self.id} runs {attempt}, {fields['x-deadline-ms']} ms left")
-        size = ORDER_BYTES if self.service == "receptura" else DOWNLOAD_BYTES
-        made = beds.answer_bytes(200, [f"X-Attempt-Id: {attempt}",
-                                       f"X-Response-Seal: {self.id}.{attempt}"], b"." * size)
-        half = len(made) // 2
-        writer.write(made[:half])
-        try:
-            await asyncio.sleep(SILENCE_S if self.bed.trouble else USUAL_PAUSE_S)
-            writer.write(made[half:])
-            await writer.drain()
-        finally:
-            self.bed.record(f"{self.id} ends {attempt} after {time.monotonic() - began:.2f} s")
-        self.done.add(attempt)
-        return True
-
-
-async def send(bed, entry, attempt, head, limit_ms, results):
-    reader, writer = await asyncio.open_connection(entry.ip, 8548)
-    began = time.monotonic()
-    bed.record(f"{attempt} sent")
-    writer.write((f"{head}\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
-                  f"X-Deadline-Ms: {limit_ms}\r\n\r\n").encode())
-    status, seal, size = 0, None, 0
-    try:
-        (_, status, _), fields = await asyncio.wait_for(read_head(reader), limit_ms / 1000 + 0.5)
-        seal = fields.get("x-response-seal")
-        size = len(await asyncio.wait_for(read_body(reader, fields), limit_ms / 1000))
-        outcome = "complete"
-    except asyncio.IncompleteReadError as error:
-        outcome = f"ends after {len(error.partial)} bytes of its body"
-    except (asyncio.TimeoutError, *CONNECTION_ERRORS) as error:
-        outcome = repr(error)
-    writer.close()
-    took = time.monotonic() - began
-    bed.record(f"{attempt} answered {status}, seal {seal}, {outcome}, after {took:.2f} s")
-    results[attempt] = (int(status), seal, outcome, took)
+TIME_LIMIT_MS = 8000
+CLIENTS = 4
+DOWNLOAD_BYTES = 300_000
+# A slow reader: this many bytes, and the pause between two reads. It needs 5 s for the download.
+READ_BYTES = 3000
+READ_PAUSE_S = 0.05
+RECEIVE_BUFFER = 16_384
+# The client sends further requests behind the download, of which the first one follows the stop.
+FURTHER_PAUSE_S = 0.8
+MAX_FURTHER = 5
+STOP_AFTER_S = 1.0
+
+
+class Reader:
+    """A client that pipelines on one connection and reads slowly."""
+
+    def __init__(self, bed, entry, name):
+        self.bed = bed
+        self.name = name
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        self.socket.connect((entry.ip, 8548))
+        self.sent = {}
+        self.answered = []
+        self.data = b""
+        self.ended = None
+        self.closing = False
+
+    def send(self, path):
+        attempt = f"{self.name}-{len(self.sent) + 1}"
+        self.sent[attempt] = time.monotonic()
+        self.bed.record(f"{attempt} sent: GET {path}")
+        self.socket.sendall(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
+                            f"X-Deadline-Ms: {TIME_LIMIT_MS}\r\n\r\n".encode())
+        return attempt
+
+    def send_further(self, delay_s):
+        time.sleep(delay_s)
+        for _ in range(MAX_FURTHER):
+            if self.ended or self.closing:
+                return
+            try:
+                self.send("/small/2f")
+            except OSError:
+                return
+            time.sleep(FURTHER_PAUSE_S)
+
+    def read(self):
+        """Reads until the connection ends, an answer closes it, or all requests are answered."""
+        end = time.monotonic() + TIME_LIMIT_MS / 1000
+        self.socket.settimeout(1)
+        while time.monotonic() < end and not self.closing:
+            try:
+                data = self.socket.recv(READ_BYTES)
+            except socket.timeout:
+                if len(self.answered) == len(self.sent):
+                    break
+                continue
+            except OSError as error:
+                self.ended = f"reset: {error}"
+                break
+            if not data:
+                self.ended = "end of stream"
+                break
+            self.data += data
+            self.take_answers()
+            time.sleep(READ_PAUSE_S)
+        self.bed.record(f"{self.name} stops reading: {self.ended or 'its answers are complete'}; "
+                        f"{len(self.data)} bytes of an incomplete answer")
+        self.socket.close()
+
+    def take_answers(self):
+        while True:
+            head_end = self.data.find(b"\r\n\r\n")
+            if head_end < 0:
+                return
+            lines = self.data[:head_end].decode("latin-1").split("\r\n")
+            fields = dict(it.lower().split(": ", 1) for it in lines[1:])
+            size = head_end + 4 + int(fields["content-length"])
+            if len(self.data) < size:
+                return
+            self.data = self.data[size:]
+            attempt = list(self.sent)[len(self.answered)]
+            self.answered.append(attempt)
+            self.closing = fields.get("connection") == "close"
+            self.bed.record(f"{attempt} answered {lines[0].split(' ')[1]}, complete")
+
+
+class SizedWorker(Worker):
+    """Sends a large body for a download."""
+
+    async def serve(self, reader, writer):
+        self.body_bytes = DOWNLOAD_BYTES if self.service == "katalog" else 200
+        await super().serve(reader, writer)
 
 
 async def case(bed):
     bed.store.put("op/config", beds.config(7, [
-        beds.route("r1", "/dispense/", "non_idempotent", "receptura", ORDER_LIMIT_MS, 1500),
-        beds.route("r2", "/archive/", "download", "katalog", DOWNLOAD_LIMIT_MS, 1000)],
-        ["receptura", "katalog"]))
+        beds.route("r1", "/download/", "download", "katalog", TIME_LIMIT_MS, 1000),
+        beds.route("r2", "/small/", "idempotent", "receptura", TIME_LIMIT_MS, 1000)],
+        ["katalog", "receptura"]))
     zones = list(beds.ZONES)
-    workers = [PausingWorker(bed, f"i-{n:08x}", service, zones[n % len(zones)], slots=9)
-               for n, service in enumerate(["receptura"] * 4 + ["katalog"] * 4)]
+    workers = [SizedWorker(bed, f"i-{n:08x}", service, zones[n % len(zones)], slots=9, work_s=0.05)
+               for n, service in enumerate(["katalog"] * 4 + ["receptura"] * 4)]
     for it in workers:
         await it.start()
     bed.entries = [Entry(bed, "nord-a", 1)]
@@ -89,26 +127,35 @@
     await entry.wait_ready()
     await asyncio.sleep(STABILITY_S + 1)
 
-    results = {}
-    calls = [send(bed, entry, f"order-{n}", "POST /dispense/2f HTTP/1.1\r\nContent-Length: 0",
-                  ORDER_LIMIT_MS, results) for n in range(ORDERS)]
-    calls += [send(bed, entry, f"download-{n}", "GET /archive/2f HTTP/1.1", DOWNLOAD_LIMIT_MS, results)
-              for n in range(DOWNLOADS)]
-    tasks = [asyncio.create_task(it) for it in calls]
+    readers = [Reader(bed, entry, f"c{n}") for n in range(CLIENTS)]
+    downloads = [it.send("/download/2f") for it in readers]
+    threads = [threading.Thread(target=it.read, daemon=True) for it in readers]
+    threads += [threading.Thread(target=it.send_further, args=(STOP_AFTER_S + 0.2,), daemon=True)
+                for it in readers]
+    for it in threads:
+        it.start()
     await asyncio.sleep(STOP_AFTER_S)
-    entry.signal(signal.SIGTERM)
     stopped_at = time.monotonic()
-    bed.record(f"SIGTERM for {entry.name}")
-    await asyncio.gather(*tasks)
-    await asyncio.wait_for(entry.process.wait(), GRACE_S + 1)
-    bed.record(f"{entry.name} ended {time.monotonic() - stopped_at:.2f} s after SIGTERM")
-    ran = {attempt for it in workers for _, attempt in it.runs}
-    if set(results) - ran:
-        raise beds.Unfit(f"not passed on: {set(results) - ran}")
-    return [f"LOST {attempt}: status {status}, {'sealed' if seal else 'without a seal'}, {outcome}, "
-            f"{took:.2f} s after it was sent"
-            for attempt, (status, seal, outcome, took) in sorted(results.items())
-            if outcome != "complete" or not seal]
+    if bed.trouble:
+        entry.signal(signal.SIGTERM)
+        bed.record(f"SIGTERM for {entry.name}")
+        await asyncio.wait_for(entry.process.wait(), GRACE_S)
+        bed.record(f"{entry.name} ended {time.monotonic() - stopped_at:.2f} s after SIGTERM")
+    while any(it.is_alive() for it in threads):
+        await asyncio.sleep(0.1)
+    return judge(readers, downloads, workers)
+
+
+def judge(readers, downloads, workers):
+    run = {attempt for it in workers for attempt in it.done}
+    broken = []
+    for reader, attempt in zip(readers, downloads):
+        if attempt not in run:
+            raise beds.Unfit(f"{attempt} did not reach a worker")
+        if attempt not in reader.answered:
+            broken.append(f"LOST {attempt}, whose worker had ended its work, got "
+                          f"{len(reader.data)} bytes of its answer: {reader.ended}")
+    return broken
 
 
 beds.run(case, HERE)
