Review case 15: the directory names an entry that was killed

Cause: only its lease tells that an entry is gone; the lease (3.8 s) is longer than stability_ms (3 s), and one that paused in an outage of the store runs on after it.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,149 +1,117 @@
-"""A key that was taken away is accepted by an entry that starts after the store's drill."""
+"""The directory names an entry that was killed, after a time in which the store was silent."""
 
 import asyncio
+import json
 import os
 import signal
 import sys
 import time
+import urllib.parse
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins3"))
 
 import bed as beds  # noqa: E402
-from bed import CONNECTION_ERRORS, HOST, Entry, read_body, read_head  # noqa: E402
+from bed import CONNECTION_ERRORS, HOST, STABILITY_S, Entry, read_body, read_head  # noqa: E402
 from worker import Worker  # noqa: E402
 
-REVOKE_S = 5.0
-GRACE_S = 6.0
-TIME_LIMIT_MS = 3000
-# Times after the confirmation of the config that takes the key away.
-STOPS_AT_S = -3.0
-DRILL_AT_S = 3.8
-AWAY_S = 0.2
-COPY_AGE_S = 4.5
-STARTS_AT_S = 4.1
-WRITTEN_AGAIN_AT_S = 5.9
-ENDS_AT_S = 9.0
-TAKEN_AWAY = "key-of-b"
-KEPT = "key-of-a"
+SETTLES_S = 5.0
+SILENT_AFTER_S = 0.1
+SILENT_FOR_S = 4.5
+ENDS_AFTER_S = 12.0
+CLIENTS_PER_ENTRY = 16
+# A client asks anew when its response has run out.
+ASKS_EACH_S = 2.0
 
 
 class Client:
-    """Sends a read each tenth of a second, each on a connection of its own."""
+    """Asks one entry for addresses, on a connection of its own each time."""
 
-    def __init__(self, bed, entry, key, name, reads):
+    def __init__(self, bed, entry, answers):
         self.bed = bed
         self.entry = entry
-        self.key = key
-        self.name = name
-        self.reads = reads
-        self.count = 0
+        self.answers = answers
 
-    async def run(self, end):
-        tasks = []
+    async def run(self, delay, end):
+        await asyncio.sleep(delay)
         while time.monotonic() < end:
-            tasks.append(asyncio.create_task(self.read()))
-            await asyncio.sleep(0.1)
-        await asyncio.gather(*tasks)
+            await self.ask()
+            await asyncio.sleep(ASKS_EACH_S)
 
-    async def read(self):
-        self.count += 1
-        attempt = f"{self.name}-{self.count}"
+    async def ask(self):
         writer = None
+        asked = time.monotonic()
+        query = urllib.parse.urlencode({"name": HOST, "region": beds.ZONES[self.entry.zone],
+                                        "zone": self.entry.zone})
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(self.entry.ip, 8548), 1)
-            read = {"sent": time.monotonic(), "key": self.key, "entry": self.entry, "status": 0}
-            self.reads[attempt] = read
-            self.bed.record(f"{attempt} sent with {self.key} to {self.entry.name}")
-            writer.write((f"GET /odczyty/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
-                          f"Authorization: Bearer {self.key}\r\n"
-                          f"X-Deadline-Ms: {TIME_LIMIT_MS}\r\n\r\n").encode())
-            (_, status, _), fields = await asyncio.wait_for(read_head(reader), 4)
-            await read_body(reader, fields)
-            read["status"] = int(status)
-            self.bed.record(f"{attempt} answered {status}")
-        except (asyncio.TimeoutError, *CONNECTION_ERRORS):
-            pass
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(self.entry.ip, 8546), 1)
+            writer.write(f"GET /fuchsiaproxy/resolve?{query} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            (_, status, _), fields = await asyncio.wait_for(read_head(reader), 1)
+            body = await read_body(reader, fields)
+            named = json.loads(body)["addresses"] if status == "200" else []
+            self.answers.append((asked, self.entry.name, named))
+            self.bed.record(f"{self.entry.name} answered {status} {named}")
+        except (asyncio.TimeoutError, KeyError, *CONNECTION_ERRORS) as error:
+            self.bed.record(f"{self.entry.name} did not answer: {error!r}")
         finally:
             if writer is not None:
                 writer.close()
 
 
+def lease_of(bed, entry):
+    for key, item in bed.store.items.items():
+        if key.endswith("/" + entry.name):
+            return item["lease"]
+    raise beds.Unfit(f"{entry.name} has no record in the store")
+
+
 async def case(bed):
-    routes = [beds.route("r1", "/odczyty/", "idempotent", "tablica", TIME_LIMIT_MS)]
-    before = beds.config(7, routes, ["tablica"], [("ta", [KEPT]), ("tb", [TAKEN_AWAY])])
-    after = beds.config(9, routes, ["tablica"], [("ta", [KEPT]), ("tb", [])])
-    bed.store.put("op/config", before)
+    bed.store.put("op/config", beds.config(
+        7, [beds.route("r1", "/shelf/", "idempotent", "catalogue", 2000)], ["catalogue"]))
     zones = list(beds.ZONES)
-    workers = [Worker(bed, f"i-{n:08x}", "tablica", zones[n % len(zones)], slots=12, work_s=0.1)
-               for n in range(8)]
-    for it in workers:
-        await it.start()
-    bounds = {"revocation_bound_ms": int(REVOKE_S * 1000), "store_settle_ms": 4000,
-              "apply_ms": 3000, "drain_ms": 3000}
-    bed.entries = [Entry(bed, zone, n + 1, bounds=bounds) for n, zone in enumerate(zones[:2])]
-    stopped = bed.entries[1]
+    for n in range(6):
+        await Worker(bed, f"i-{n:08x}", "catalogue", zones[n]).start()
+    bed.entries = [Entry(bed, zone, n + 1) for n, zone in enumerate(["nord-a", "nord-b", "nord-a"])]
     for it in bed.entries:
         await it.start()
     for it in bed.entries:
         await it.wait_ready()
-    confirmed = time.monotonic() + 5.0 - STOPS_AT_S
-    reads = {}
-    clients = [asyncio.create_task(Client(bed, entry, key, f"{key}-{entry.zone}", reads)
-                                   .run(confirmed + ENDS_AT_S))
-               for entry in bed.entries for key in (KEPT, TAKEN_AWAY)]
-
-    async def until(at):
-        await asyncio.sleep(max(0.0, confirmed + at - time.monotonic()))
-
-    await until(STOPS_AT_S)
-    stopped.signal(signal.SIGTERM)
-    bed.record(f"SIGTERM to {stopped.name}")
-    await until(0)
-    bed.store.put("op/config", after)
-    confirmed = time.monotonic()
-    bed.record(f"confirmed: version 9, without {TAKEN_AWAY}")
-    await until(STOPS_AT_S + GRACE_S)
-    stopped.signal(signal.SIGKILL)
-    await stopped.process.wait()
-    await until(DRILL_AT_S)
+    *running, victim = bed.entries
+    began = time.monotonic()
+    answers = []
+    clients = [asyncio.create_task(Client(bed, entry, answers).run(
+        n * ASKS_EACH_S / CLIENTS_PER_ENTRY, began + SETTLES_S + ENDS_AFTER_S))
+        for entry in running for n in range(CLIENTS_PER_ENTRY)]
+
+    await asyncio.sleep(SETTLES_S)
+    lease = lease_of(bed, victim)
+    renewed = asyncio.Event()
+    bed.store.on_renewal = lambda it: renewed.set() if it == lease else None
+    await asyncio.wait_for(renewed.wait(), 5)
+    victim.signal(signal.SIGKILL)
+    await victim.process.wait()
+    killed = time.monotonic()
+    bed.record(f"{victim.name} is killed, just after its lease was renewed")
+    stable_again = killed
     if bed.trouble:
-        bed.store.leave()
-        bed.record("the store is away")
-        await until(DRILL_AT_S + AWAY_S)
-        bed.store.return_from_copy(COPY_AGE_S)
-        bed.record(f"the store is back from a copy {COPY_AGE_S} s old")
-    await until(STARTS_AT_S)
-    await stopped.start()
-    await until(WRITTEN_AGAIN_AT_S)
-    if bed.trouble:
-        bed.store.put("op/config", after)
-        bed.record(f"version 9, without {TAKEN_AWAY}, is written again")
+        await asyncio.sleep(SILENT_AFTER_S)
+        bed.store.fall_silent()
+        bed.record("the store is silent")
+        await asyncio.sleep(SILENT_FOR_S)
+        bed.store.end_silence()
+        bed.record("the store answers again")
+        stable_again = time.monotonic()
     await asyncio.gather(*clients)
-    return judge(bed, stopped, workers, confirmed, reads)
-
-
-def judge(bed, stopped, workers, confirmed, reads):
-    def served(key, first, last):
-        return [it for it in reads.values() if it["key"] == key and it["status"] == 200
-                and first < it["sent"] - confirmed < last]
-    if not served(TAKEN_AWAY, -99, 0):
-        raise beds.Unfit("the key was not accepted before it was taken away")
-    if not [it for it in served(KEPT, STARTS_AT_S, 99) if it["entry"] is stopped]:
-        raise beds.Unfit(f"{stopped.name} did not serve after its start")
-    broken = []
-    for worker in workers:
-        for _, attempt in worker.runs:
-            it = reads[attempt]
-            late = it["sent"] - confirmed
-            if it["key"] == TAKEN_AWAY and late > REVOKE_S:
-                broken.append(f"CONFIG {attempt}, sent to {it['entry'].name} {late:.2f} s after the "
-                              f"confirmation that took its key away, runs on {worker.id}, "
-                              f"answered {it['status']}")
-    bed.record(f"reads {len(reads)}, with {TAKEN_AWAY} served after the confirmation: "
-               f"{len(served(TAKEN_AWAY, 0, 99))}")
-    return sorted(broken)
+
+    address = f"{victim.ip}:8548"
+    if not [it for it in answers if it[0] < killed and address in it[2]]:
+        raise beds.Unfit(f"{victim.name} was not named before")
+    late = max(killed + STABILITY_S + 3.0, stable_again + STABILITY_S)
+    alive = {f"{it.ip}:8548" for it in running}
+    wrong = [it for it in answers if it[0] > late and address in it[2] and alive & set(it[2])]
+    return [f"DRAIN {name} names {victim.name} {asked - killed:.2f} s after its end, "
+            f"{asked - stable_again:.2f} s after the store was back"
+            for asked, name, _ in wrong] if len(wrong) > 3 else []
 
 
 beds.run(case, HERE)
--- a/review/standins3/bed.py
+++ b/review/standins3/bed.py
@@ -92,6 +92,9 @@
         self.next_lease = 1
         self.era = 1
         self.away = False
+        self.silent_since = None
+        self.last_silence = 0.0
+        self.on_renewal = None
         self.changed = asyncio.Event()
         self.writers = set()
         self.copies = []
@@ -107,7 +110,8 @@
         while True:
             await asyncio.sleep(0.1)
             now = time.monotonic()
-            for lease in [it for it, (_, end) in self.leases.items() if end <= now and not self.away]:
+            paused = self.away or self.silent_since is not None
+            for lease in [it for it, (_, end) in self.leases.items() if end <= now and not paused]:
                 self.end_lease(lease)
 
     def end_lease(self, lease):
@@ -160,16 +164,30 @@
         self.away = False
         self.after_change()
 
+    def fall_silent(self):
+        """The store does and answers nothing, also later; leases pause. Calls that it has are lost."""
+        self.silent_since = self.last_silence = time.monotonic()
+
+    def end_silence(self):
+        pause = time.monotonic() - self.silent_since
+        self.silent_since = None
+        self.leases = {it: (ttl, end + pause) for it, (ttl, end) in self.leases.items()}
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
             while not self.away:
                 (method, target, _), fields = await read_head(reader)
                 body = await read_body(reader, fields)
+                called = time.monotonic()
                 await asyncio.sleep(0.004)
+                if self.silent_since is not None:
+                    await asyncio.Event().wait()
                 status, value = await self.answer(method, target, body)
                 if self.away:
                     break
+                if called < self.last_silence:
+                    await asyncio.Event().wait()
                 text = b"" if value is None else json.dumps(value).encode()
                 writer.write(answer_bytes(status, ["Content-Type: application/json",
                                                    f"Store-Era: {self.era}"], text))
@@ -202,6 +220,8 @@
         if verb == "kv-keep" and int(lease) in self.leases:
             ttl = self.leases[int(lease)][0]
             self.leases[int(lease)] = (ttl, time.monotonic() + ttl / 1000)
+            if self.on_renewal is not None:
+                self.on_renewal(int(lease))
             return 200, {"ttl_ms": ttl}
         if verb == "kv-lease-end" and self.end_lease(int(lease)):
             return 200, None
